--- /dev/null
+++ b/ava.config.js
@@ -0,0 +1,9 @@
+const config = {
+	files: ['out/**/test/**/*.test.js'],
+	timeout: '3m',
+	concurrency: 4,
+	snapshotDir: 'snapshots',
+	workerThreads: false,
+};
+
+export default config;
--- /dev/null
+++ b/scripts/build.js
@@ -0,0 +1,31 @@
+// Bundles each program into one executable file under dist/.
+import {chmod, mkdir} from 'node:fs/promises';
+import {build} from 'esbuild';
+
+const programs = new Map([
+	['kumquatline-node', 'src/programs/node/main.ts'],
+	['kumquatline', 'src/programs/cli/main.ts'],
+]);
+
+await mkdir('dist', {recursive: true});
+for (const [name, entryPoint] of programs) {
+	const outfile = `dist/${name}`;
+
+	await build({
+		entryPoints: [entryPoint],
+		outfile,
+		bundle: true,
+		platform: 'node',
+		format: 'esm',
+		target: 'node20',
+		external: ['unix-dgram'],
+		minify: false,
+		legalComments: 'none',
+		logLevel: 'warning',
+		banner: {
+			js: '#!/usr/bin/env node\nimport {createRequire as createBundleRequire} from \'node:module\';\nconst require = createBundleRequire(import.meta.url);',
+		},
+	});
+
+	await chmod(outfile, 0o755);
+}
--- /dev/null
+++ b/src/base/disposable.ts
@@ -0,0 +1,4 @@
+/** Owns something that has to be released: a listener, a timer or a socket. */
+export interface Disposable {
+	dispose(): void;
+}
--- /dev/null
+++ b/src/platform/kernel/kernel.ts
@@ -0,0 +1,68 @@
+import {type Disposable} from '../../base/disposable.js';
+import {serviceDependencies} from './service-dependencies.js';
+import {type ServiceId} from './service-id.js';
+
+type ServiceConstructor<T> = new (...services: any[]) => T;
+
+/** Creates services on first use, hands them to each other by name and disposes them in reverse. */
+export class Kernel implements Disposable {
+	private readonly constructors = new Map<string, ServiceConstructor<unknown>>();
+	private readonly instances = new Map<string, unknown>();
+	private readonly pending = new Set<string>();
+
+	/** Registers a class; a later registration of the same name replaces an earlier one that was not used yet. */
+	register<T>(id: ServiceId<T>, constructor: ServiceConstructor<T>): this {
+		if (this.instances.has(id.serviceName)) {
+			throw new Error(`service ${id.serviceName} is in use already`);
+		}
+
+		this.constructors.set(id.serviceName, constructor);
+		return this;
+	}
+
+	/** Registers a ready instance, which the kernel disposes too. */
+	registerInstance<T>(id: ServiceId<T>, instance: T): this {
+		this.instances.set(id.serviceName, instance);
+		return this;
+	}
+
+	/** Finds a service, creating it and what it depends on. */
+	get<T>(id: ServiceId<T>): T {
+		const existing = this.instances.get(id.serviceName);
+		if (existing !== undefined) {
+			return existing as T;
+		}
+
+		const constructor = this.constructors.get(id.serviceName) as ServiceConstructor<T> | undefined;
+		if (!constructor) {
+			throw new Error(`service ${id.serviceName} is not registered`);
+		}
+
+		if (this.pending.has(id.serviceName)) {
+			throw new Error(`service ${id.serviceName} depends on itself: ${[...this.pending].join(' → ')}`);
+		}
+
+		this.pending.add(id.serviceName);
+		const instance = this.create(constructor);
+		this.pending.delete(id.serviceName);
+		this.instances.set(id.serviceName, instance);
+		return instance;
+	}
+
+	/** Creates an object whose constructor asks for services only. */
+	create<T>(constructor: ServiceConstructor<T>): T {
+		const dependencies = serviceDependencies.get(constructor) ?? new Map<number, ServiceId<unknown>>();
+		const services = [...dependencies]
+			.sort(([left], [right]) => left - right)
+			.map(([, id]) => this.get(id));
+		return new constructor(...services);
+	}
+
+	dispose(): void {
+		const instances = [...this.instances.values()].reverse();
+		this.instances.clear();
+		for (const instance of instances) {
+			(instance as Partial<Disposable>).dispose?.();
+		}
+	}
+}
--- /dev/null
+++ b/src/platform/kernel/test/kernel.test.ts
@@ -0,0 +1,34 @@
+import test from 'ava';
+import {createServiceId} from '../create-service-id.js';
+import {Kernel} from '../kernel.js';
+
+interface Greeter {
+	greet(): string;
+}
+
+const greeterId = createServiceId<Greeter>('greeter');
+const hostId = createServiceId<Host>('host');
+
+class PoliteGreeter implements Greeter {
+	greet(): string {
+		return 'good day';
+	}
+}
+
+class Host {
+	constructor(@greeterId private readonly greeter: Greeter) {}
+
+	welcome(): string {
+		return this.greeter.greet();
+	}
+}
+
+test('a service finds another by name', t => {
+	const kernel = new Kernel().register(greeterId, PoliteGreeter).register(hostId, Host);
+	t.is(kernel.get(hostId).welcome(), 'good day');
+});
+
+test('a service that is not registered is named', t => {
+	const kernel = new Kernel().register(hostId, Host);
+	t.throws(() => kernel.get(hostId), {message: /greeter is not registered/});
+});
--- /dev/null
+++ b/src/programs/node/main.ts
@@ -0,0 +1,1 @@
+console.log('kumquatline-node');
