--- /dev/null
+++ b/src/base/execution.ts
@@ -0,0 +1,6 @@
+/** What is known of a request id's execution at the backend server. */
+export enum Execution {
+	NotRun = 'not-run',
+	Unknown = 'unknown',
+	Completed = 'completed',
+}
--- /dev/null
+++ b/src/platform/log/log-service.ts
@@ -0,0 +1,13 @@
+import {createServiceId} from '../kernel/create-service-id.js';
+
+type LogFields = Readonly<Record<string, unknown>>;
+
+/** Structured log; fields never hold request bodies, nor ids of callers above debug. */
+export interface LogService {
+	debug(message: string, fields?: LogFields): void;
+	info(message: string, fields?: LogFields): void;
+	warn(message: string, fields?: LogFields): void;
+	error(message: string, fields?: LogFields): void;
+}
+
+export const LogService = createServiceId<LogService>('log');
--- /dev/null
+++ b/src/platform/peer/peer-method.ts
@@ -0,0 +1,8 @@
+/** Name of a method between nodes, with the types of its parameters and result. */
+export class PeerMethod<P, R> {
+	/** Carry types only; they never have values. */
+	declare readonly params: P;
+	declare readonly result: R;
+
+	constructor(readonly name: string) {}
+}
--- /dev/null
+++ b/src/services/backend/backend-service.ts
@@ -0,0 +1,20 @@
+import {createServiceId} from '../../platform/kernel/create-service-id.js';
+import {type CallAnswer} from '../calls/call-answer.js';
+import {type CallRequest} from '../calls/call-request.js';
+import {type OwnTime} from '../admission/admission-service.js';
+import {type BackendAnnouncement} from '../membership/backend-announcement.js';
+
+/** The VM's own backend server: its announcements and sub-calls on loopback, and calls to it. */
+export interface BackendService {
+	readonly announcement: BackendAnnouncement | undefined;
+	/** Port on which the backend server announces itself and makes sub-calls. */
+	readonly port: number;
+	listen(): Promise<void>;
+	/**
+	Runs a call on the backend server.
+	Errors: `backend-unreachable` (not started), `backend-shed` (`started: false` only where the backend server said so), `backend-failed`, `answer-too-large`, `deadline-exceeded`, `caller-gone`.
+	*/
+	invoke(request: CallRequest, ownTime: OwnTime, signal: AbortSignal): Promise<CallAnswer>;
+}
+
+export const BackendService = createServiceId<BackendService>('backend');
--- /dev/null
+++ b/src/services/calls/call-answer.ts
@@ -0,0 +1,6 @@
+/** A whole answer of a backend server. */
+export type CallAnswer = {
+	readonly status: number;
+	readonly headers: Readonly<Record<string, string>>;
+	readonly bodyBase64: string;
+};
--- /dev/null
+++ b/src/services/calls/execute-method.ts
@@ -0,0 +1,6 @@
+import {PeerMethod} from '../../platform/peer/peer-method.js';
+import {type CallRequest} from './call-request.js';
+import {type ExecutionReply} from './execution-reply.js';
+
+/** Runs a call on the receiving node's own backend server. */
+export const executeMethod = new PeerMethod<CallRequest, ExecutionReply>('execute');
--- /dev/null
+++ b/src/services/ownership/ownership-service.ts
@@ -0,0 +1,29 @@
+import {createServiceId} from '../../platform/kernel/create-service-id.js';
+import {type PeerAddress} from '../../platform/peer/peer-address.js';
+import {type CallAnswer} from '../calls/call-answer.js';
+import {type CallRequest} from '../calls/call-request.js';
+
+/** How the shards of a service are spread at present, for status. */
+export type ShardSummary = {
+	readonly service: string;
+	readonly version: number;
+	readonly shardsByNodeId: Readonly<Record<string, number>>;
+};
+
+/** Decides about request ids: one node owns each id, runs it at most once and counts its retries. */
+export interface OwnershipService {
+	readonly shards: readonly ShardSummary[];
+	/** Runs a call that is not idempotent through the owner of its id, or joins the run there is. */
+	run(request: CallRequest, signal: AbortSignal): Promise<CallAnswer>;
+	/** Owner of an id of a service, as the table in force names it; undefined when nobody does. */
+	ownerOf(service: string, requestId: string): PeerAddress | undefined;
+	/** Whether this node holds the right to decide about the id now, and no takeover makes its past unknown. */
+	isOwner(service: string, requestId: string): boolean;
+	/** Mints ids that this run of the node owns. */
+	reserve(count: number): readonly string[];
+	start(signal: AbortSignal): Promise<void>;
+	/** Hands all shards over and waits for running entries. */
+	handOver(signal: AbortSignal): Promise<void>;
+}
+
+export const OwnershipService = createServiceId<OwnershipService>('ownership');
