Add checked settings and the path of a call between nodes

Cause: nodes need their addresses and bounds before any port opens, and calls need one place that chooses an upstream, executes and retries. Excluded: retries of calls that are not idempotent (their owner decides).

--- /dev/null
+++ b/src/platform/settings/check-settings.ts
@@ -0,0 +1,36 @@
+import {type NodeSettings} from './node-settings.js';
+
+const msPerSecond = 1000;
+
+/** Conflicts between settings that are valid one by one, each as a readable line. */
+export function checkSettings(settings: NodeSettings): string[] {
+	const problems: string[] = [];
+	if (settings.leaseTtlMs % msPerSecond !== 0) {
+		problems.push(`lease-ttl-ms: ${settings.leaseTtlMs} is not a whole number of seconds, which is what the store counts in`);
+	}
+
+	if (settings.leaseMarginMs * 2 > settings.leaseTtlMs) {
+		problems.push(`lease-margin-ms: ${settings.leaseMarginMs} is more than half of lease-ttl-ms (${settings.leaseTtlMs})`);
+	}
+
+	if (settings.clockSkewBoundMs >= settings.leaseTtlMs) {
+		problems.push(`clock-skew-bound-ms: ${settings.clockSkewBoundMs} must be below lease-ttl-ms (${settings.leaseTtlMs})`);
+	}
+
+	return [...problems, ...checkPorts(settings)];
+}
+
+function checkPorts(settings: NodeSettings): string[] {
+	const problems: string[] = [];
+	const tcpPorts = new Map<number, string>();
+	for (const [name, port] of [['caller-port', settings.callerPort], ['backend-port', settings.backendPort], ['peer-port', settings.peerPort]] as const) {
+		const other = tcpPorts.get(port);
+		if (port !== 0 && other !== undefined) {
+			problems.push(`${name}: ${port} is taken by ${other}; each TCP port needs a number of its own`);
+		}
+
+		tcpPorts.set(port, name);
+	}
+
+	return problems;
+}
--- /dev/null
+++ b/src/platform/settings/fixed-settings-service.ts
@@ -0,0 +1,8 @@
+import {v7 as uuidv7} from 'uuid';
+import {type NodeSettings} from './node-settings.js';
+import {type SettingsService} from './settings-service.js';
+
+/** Settings as they were at the start of this run. */
+export class FixedSettingsService implements SettingsService {
+	constructor(readonly settings: NodeSettings, readonly incarnation: string = uuidv7()) {}
+}
--- /dev/null
+++ b/src/services/calls/graph-call-service.ts
@@ -0,0 +1,83 @@
+import {v7 as uuidv7} from 'uuid';
+import {ErrorKind} from '../../base/error-kind.js';
+import {KumquatlineError} from '../../base/kumquatline-error.js';
+import {OwnershipService} from '../ownership/ownership-service.js';
+import {RetryService} from '../retries/retry-service.js';
+import {type CallAnswer} from './call-answer.js';
+import {type CallRequest} from './call-request.js';
+import {type CallService} from './call-service.js';
+import {UpstreamService} from './upstream-service.js';
+
+/** Failures after which an idempotent call may be executed again. */
+const retriedKinds: ReadonlySet<ErrorKind> = new Set([
+	ErrorKind.PeerLost,
+	ErrorKind.PeerUnreachable,
+	ErrorKind.PeerChanged,
+	ErrorKind.BackendUnreachable,
+	ErrorKind.BackendFailed,
+	ErrorKind.BackendShed,
+]);
+
+/** Statuses of a backend server's answer after which an idempotent call may be executed again. */
+const retriedStatuses: ReadonlySet<number> = new Set([502, 503, 504]);
+
+/** Sends idempotent calls straight to an upstream, with retries by grant, and all others through their owner. */
+export class GraphCallService implements CallService {
+	constructor(
+		@UpstreamService private readonly upstreams: UpstreamService,
+		@OwnershipService private readonly ownership: OwnershipService,
+		@RetryService private readonly retries: RetryService,
+	) {}
+
+	async call(request: CallRequest, signal: AbortSignal): Promise<CallAnswer> {
+		this.retries.noteFresh();
+		return request.idempotent ? this.callIdempotent(request, signal) : this.ownership.run(request, signal);
+	}
+
+	private async callIdempotent(request: CallRequest, signal: AbortSignal): Promise<CallAnswer> {
+		const tried = new Set<string>();
+		for (;;) {
+			const outcome = await this.attempt(request, tried, signal);
+			const mayRetry = outcome instanceof KumquatlineError ? retriedKinds.has(outcome.kind) : retriedStatuses.has(outcome.status);
+			const again = mayRetry && await this.retries.grant(request.context, signal);
+			if (!again) {
+				return settle(outcome);
+			}
+		}
+	}
+
+	/** Prefers upstreams that were not tried yet, and falls back to any. */
+	private async attempt(request: CallRequest, tried: Set<string>, signal: AbortSignal): Promise<CallAnswer | KumquatlineError> {
+		try {
+			return await this.execute(request, tried, signal);
+		} catch (error) {
+			if (!(error instanceof KumquatlineError)) {
+				return new KumquatlineError(ErrorKind.Internal, 'unforeseen failure of a call', {cause: error});
+			}
+
+			if (error.kind !== ErrorKind.NoUpstream || tried.size === 0) {
+				return error;
+			}
+
+			tried.clear();
+			return this.attempt(request, tried, signal);
+		}
+	}
+
+	private async execute(request: CallRequest, tried: Set<string>, signal: AbortSignal): Promise<CallAnswer> {
+		const exclude = new Set(tried);
+		const onWillSend = (nodeId: string): void => {
+			tried.add(nodeId);
+		};
+
+		return this.upstreams.execute(request, {callId: uuidv7(), exclude, onWillSend}, signal);
+	}
+}
+
+function settle(outcome: CallAnswer | KumquatlineError): CallAnswer {
+	if (outcome instanceof KumquatlineError) {
+		throw outcome;
+	}
+
+	return outcome;
+}
--- /dev/null
+++ b/src/services/calls/routed-upstream-service.ts
@@ -0,0 +1,96 @@
+import {ErrorKind} from '../../base/error-kind.js';
+import {Execution} from '../../base/execution.js';
+import {fromWireError} from '../../base/from-wire-error.js';
+import {KumquatlineError} from '../../base/kumquatline-error.js';
+import {PeerService} from '../../platform/peer/peer-service.js';
+import {type UpstreamLoad} from '../admission/upstream-load.js';
+import {type Member} from '../membership/member.js';
+import {RoutingService} from '../routing/routing-service.js';
+import {type CallAnswer} from './call-answer.js';
+import {type CallRequest} from './call-request.js';
+import {executeMethod} from './execute-method.js';
+import {type UpstreamCall, type UpstreamService} from './upstream-service.js';
+
+/** Upstreams tried for one execution while each certainly did not start it. */
+const maxUpstreamsTried = 4;
+
+/** Failures of an upstream that say nothing about the others: another one is tried at once. */
+const reroutedKinds: ReadonlySet<ErrorKind> = new Set([
+	ErrorKind.PeerUnreachable,
+	ErrorKind.PeerChanged,
+	ErrorKind.Draining,
+	ErrorKind.BackendUnreachable,
+]);
+
+/** Executes calls at upstreams that routing chooses, passing over those that can't take any. */
+export class RoutedUpstreamService implements UpstreamService {
+	constructor(
+		@RoutingService private readonly routing: RoutingService,
+		@PeerService private readonly peers: PeerService,
+	) {}
+
+	async execute(request: CallRequest, call: UpstreamCall, signal: AbortSignal): Promise<CallAnswer> {
+		const exclude = new Set(call.exclude);
+		let failure: KumquatlineError | undefined;
+		for (let tried = 0; tried < maxUpstreamsTried; tried++) {
+			const member = this.routing.choose(request.service, exclude);
+			if (!member) {
+				break;
+			}
+
+			try {
+				return await this.executeAt(member, request, call, signal);
+			} catch (error) {
+				failure = toExecutionFailure(error);
+				if (failure.started !== false || !reroutedKinds.has(failure.kind)) {
+					throw failure;
+				}
+
+				exclude.add(member.nodeId);
+			}
+		}
+
+		throw failure ?? new KumquatlineError(ErrorKind.NoUpstream, `no upstream of ${request.service} takes work`, {
+			execution: Execution.NotRun,
+			started: false,
+		});
+	}
+
+	private async executeAt(member: Member, request: CallRequest, call: UpstreamCall, signal: AbortSignal): Promise<CallAnswer> {
+		let load: UpstreamLoad | undefined;
+		try {
+			const timeoutMs = request.context.deadlineAtMs - Date.now();
+			if (timeoutMs <= 0) {
+				throw new KumquatlineError(ErrorKind.DeadlineExceeded, 'the deadline passed before the call was sent', {started: false});
+			}
+
+			call.onWillSend?.(member.nodeId);
+			const reply = await this.peers.call(member, executeMethod, request, {callId: call.callId, timeoutMs, signal});
+			load = reply.load;
+			if (reply.answer) {
+				return reply.answer;
+			}
+
+			throw fromWireError(reply.failure ?? {kind: ErrorKind.PeerProtocol, message: 'a reply without answer or failure'});
+		} finally {
+			this.routing.noteReply(member, load);
+		}
+	}
+}
+
+/** Says of a failure whether the execution may have begun. */
+function toExecutionFailure(error: unknown): KumquatlineError {
+	if (!(error instanceof KumquatlineError)) {
+		return new KumquatlineError(ErrorKind.Internal, 'unforeseen failure of a call', {execution: Execution.Unknown, cause: error});
+	}
+
+	const neverSent = error.kind === ErrorKind.PeerUnreachable || error.kind === ErrorKind.PeerChanged;
+	const started = neverSent ? false : error.started;
+	const {kind, message, retryAfterMs} = error;
+	return new KumquatlineError(kind, message, {
+		execution: started === false ? Execution.NotRun : Execution.Unknown,
+		started,
+		retryAfterMs,
+		cause: error,
+	});
+}
