Let gossip name the peer that has a policy version

Cause: a node that hears of a version has to fetch it, and policy can't depend on membership, which depends on it. Change: hearOf takes the peer's address; setWatching lets membership decide who watches the store; initialize and preview serve operators.

--- a/src/services/policy/policy-service.ts
+++ b/src/services/policy/policy-service.ts
@@ -1,6 +1,7 @@
 import {type Operation as JsonPatchOperation} from 'rfc6902';
 import {type Event} from '../../base/event.js';
 import {createServiceId} from '../../platform/kernel/create-service-id.js';
+import {type PeerAddress} from '../../platform/peer/peer-address.js';
 import {type Policy} from './policy.js';
 
 export type PolicyPatch = {
@@ -22,12 +23,18 @@
 	/** 0 before the first policy. */
 	readonly version: number;
 	readonly onDidChange: Event<Policy>;
-	/** Takes the highest version that store and peers offer, then follows changes. */
+	/** Takes the version that the store offers, if it answers in time, then follows changes. */
 	start(signal: AbortSignal): Promise<void>;
+	/** Writes the first policy, as version 1: `policy-conflict` when there is one, `policy-invalid` or `store-unavailable`. */
+	initialize(document: unknown, signal: AbortSignal): Promise<PatchResult>;
 	/** Accepts or refuses a patch whole: `policy-conflict`, `policy-invalid` or `store-unavailable`. */
 	submit(patch: PolicyPatch, signal: AbortSignal): Promise<PatchResult>;
+	/** Applies a patch to the policy in force without writing it: the policy it would make, or `policy-conflict` or `policy-invalid`. */
+	preview(patch: PolicyPatch): Policy;
 	/** Tells that a peer has this version, as gossip hears it. */
-	hearOf(version: number, nodeId: string): void;
+	hearOf(version: number, peer: PeerAddress): void;
+	/** Whether this node watches the store for new versions, or relies on its peers and a slow check. */
+	setWatching(watching: boolean): void;
 }
 
 export const PolicyService = createServiceId<PolicyService>('policy');
