--- /dev/null
+++ b/src/services/admission/queue-admission-service.ts
@@ -0,0 +1,126 @@
+import {Deferred} from '../../base/deferred.js';
+import {ErrorKind} from '../../base/error-kind.js';
+import {Execution} from '../../base/execution.js';
+import {KumquatlineError} from '../../base/kumquatline-error.js';
+import {MetricsService} from '../../platform/metrics/metrics-service.js';
+import {type CallContext} from '../calls/call-context.js';
+import {type AdmissionService, type AdmittedWork} from './admission-service.js';
+import {OwnTimeMeter} from './own-time-meter.js';
+import {type UpstreamLoad} from './upstream-load.js';
+import {WaitingQueue} from './waiting-queue.js';
+import {type WaitingWork} from './waiting-work.js';
+
+/** Most work that waits at one node. */
+const queueCapacity = 512;
+
+/** Queues work by importance and runs it within a limit. */
+export class QueueAdmissionService implements AdmissionService {
+	private readonly queue = new WaitingQueue(queueCapacity);
+	private readonly idleWaiters: Array<Deferred<void>> = [];
+	private limit = 0;
+	private running = 0;
+	private queueWaitMs = 0;
+
+	constructor(@MetricsService private readonly metrics: MetricsService) {}
+
+	get load(): UpstreamLoad {
+		return {
+			inFlight: this.running,
+			limit: this.limit,
+			queued: this.queue.length,
+			queueWaitMs: this.queueWaitMs,
+			threshold: 0,
+		};
+	}
+
+	async run<T>(context: CallContext, work: AdmittedWork<T>, signal: AbortSignal): Promise<T> {
+		await this.enter(context, signal);
+		try {
+			return await work(new OwnTimeMeter(), signal);
+		} finally {
+			this.running--;
+			this.startWaiting();
+			this.settleIdle();
+		}
+	}
+
+	setAnnounced(slots: number, connections: number): void {
+		this.limit = Math.min(slots, connections);
+		this.startWaiting();
+	}
+
+	noteShed(): void {
+		this.metrics.count('admission.shed');
+	}
+
+	async whenIdle(): Promise<void> {
+		const waiter = new Deferred<void>();
+		this.idleWaiters.push(waiter);
+		this.settleIdle();
+		return waiter.promise;
+	}
+
+	/** Resolves when the work may run; it is counted as running by then. */
+	private async enter(context: CallContext, signal: AbortSignal): Promise<void> {
+		if (signal.aborted) {
+			throw notRun(ErrorKind.CallerGone, 'the caller left before the work was queued');
+		}
+
+		const admitted = new Deferred<void>();
+		const waiting: WaitingWork = {
+			context, enqueuedAtMs: performance.now(), start: admitted.resolve, refuse: admitted.reject,
+		};
+		const onAbort = () => {
+			if (this.queue.remove(waiting)) {
+				waiting.refuse(notRun(ErrorKind.CallerGone, 'the caller left while the work was queued'));
+				this.settleIdle();
+			}
+		};
+
+		signal.addEventListener('abort', onAbort, {once: true});
+		this.queue.add(waiting)?.refuse(notRun(ErrorKind.Overloaded, 'the queue is full'));
+		this.startWaiting();
+		try {
+			await admitted.promise;
+		} finally {
+			signal.removeEventListener('abort', onAbort);
+		}
+	}
+
+	private startWaiting(): void {
+		while (this.running < this.limit) {
+			const work = this.queue.takeFirst();
+			if (!work) {
+				return;
+			}
+
+			this.start(work);
+		}
+	}
+
+	private start(work: WaitingWork): void {
+		if (work.context.deadlineAtMs <= Date.now()) {
+			work.refuse(notRun(ErrorKind.DeadlineExceeded, 'the deadline passed while the work was queued'));
+			return;
+		}
+
+		this.queueWaitMs = performance.now() - work.enqueuedAtMs;
+		this.metrics.record('admission.queue-wait', this.queueWaitMs, {importance: work.context.importance, caller: work.context.caller});
+		this.running++;
+		work.start();
+	}
+
+	private settleIdle(): void {
+		if (this.running > 0 || this.queue.length > 0) {
+			return;
+		}
+
+		for (const waiter of this.idleWaiters.splice(0)) {
+			waiter.resolve();
+		}
+	}
+}
+
+function notRun(kind: ErrorKind, message: string): KumquatlineError {
+	return new KumquatlineError(kind, message, {execution: Execution.NotRun, started: false});
+}
--- /dev/null
+++ b/src/services/admission/test/silent-metrics-service.ts
@@ -0,0 +1,16 @@
+import {type MetricsService} from '../../../platform/metrics/metrics-service.js';
+
+/** Metrics that are thrown away. */
+export class SilentMetricsService implements MetricsService {
+	count(): void {
+		// Thrown away.
+	}
+
+	record(): void {
+		// Thrown away.
+	}
+
+	snapshot() {
+		return {counters: {}, histograms: {}};
+	}
+}
--- /dev/null
+++ b/src/services/admission/waiting-queue.ts
@@ -0,0 +1,72 @@
+import {importanceRanks} from '../policy/importance-ranks.js';
+import {type WaitingWork} from './waiting-work.js';
+
+/** Bounded queue: the most important first, then the deepest (most is paid for it already), then the earliest deadline. */
+export class WaitingQueue {
+	private readonly items: WaitingWork[] = [];
+
+	constructor(private readonly capacity: number) {}
+
+	get length(): number {
+		return this.items.length;
+	}
+
+	/** When the work that has waited longest was put in; undefined while the queue is empty. */
+	get oldestAtMs(): number | undefined {
+		let oldestAtMs: number | undefined;
+		for (const {enqueuedAtMs} of this.items) {
+			oldestAtMs = Math.min(oldestAtMs ?? enqueuedAtMs, enqueuedAtMs);
+		}
+
+		return oldestAtMs;
+	}
+
+	/** Puts work in its place; returns the work that found no room, if any, which may be the very same. */
+	add(work: WaitingWork): WaitingWork | undefined {
+		this.items.splice(this.findPlace(work), 0, work);
+		return this.items.length > this.capacity ? this.items.pop() : undefined;
+	}
+
+	takeFirst(): WaitingWork | undefined {
+		return this.items.shift();
+	}
+
+	remove(work: WaitingWork): boolean {
+		const index = this.items.indexOf(work);
+		if (index === -1) {
+			return false;
+		}
+
+		this.items.splice(index, 1);
+		return true;
+	}
+
+	/** Takes out and returns all work that a condition holds for. */
+	removeWhere(condition: (work: WaitingWork) => boolean): WaitingWork[] {
+		const removed = this.items.filter(work => condition(work));
+		const kept = this.items.filter(work => !condition(work));
+		this.items.splice(0, this.items.length, ...kept);
+		return removed;
+	}
+
+	private findPlace(work: WaitingWork): number {
+		let low = 0;
+		let high = this.items.length;
+		while (low < high) {
+			const middle = Math.floor((low + high) / 2);
+			if (compareWork(this.items[middle], work) <= 0) {
+				low = middle + 1;
+			} else {
+				high = middle;
+			}
+		}
+
+		return low;
+	}
+}
+
+function compareWork(left: WaitingWork, right: WaitingWork): number {
+	return importanceRanks[right.context.importance] - importanceRanks[left.context.importance]
+		|| right.context.depth - left.context.depth
+		|| left.context.deadlineAtMs - right.context.deadlineAtMs;
+}
