--- /dev/null
+++ b/prove/history/history.ts
@@ -0,0 +1,16 @@
+import {type HistoryEvent} from './history-event.js';
+
+/** Recorder of one run. */
+export class History {
+	readonly events: HistoryEvent[] = [];
+
+	record(event: Omit<HistoryEvent, 'atMs'>): void {
+		this.events.push({...event, atMs: performance.now()});
+	}
+
+	/** Adds events recorded elsewhere on the same clock. */
+	add(events: readonly HistoryEvent[]): void {
+		this.events.push(...events);
+		this.events.sort((left, right) => left.atMs - right.atMs);
+	}
+}
--- /dev/null
+++ b/prove/proofs.ts
@@ -0,0 +1,4 @@
+import {type Proof} from './proof.js';
+
+/** Every proof there is; each area adds its own here. */
+export const proofs: readonly Proof[] = [];
--- a/src/platform/settings/setting-arguments.ts
+++ b/src/platform/settings/setting-arguments.ts
@@ -1,8 +1,9 @@
-import {flag, oneOf, option} from 'cmd-ts';
+import {flag, oneOf} from 'cmd-ts';
 import {boundedInteger} from './bounded-integer.js';
 import {hostPort} from './host-port.js';
 import {identifier} from './identifier.js';
 import {ipAddress} from './ip-address.js';
+import {setting} from './setting.js';
 import {urlList} from './url-list.js';
 
 const port = boundedInteger('port', 0, 65_535);
@@ -10,132 +11,94 @@
 
 /** Flags and environment variables of `kumquatline-node`; a flag goes before its variable. */
 export const settingArguments = {
-	nodeId: option({
-		long: 'node-id',
-		env: 'KUMQUATLINE_NODE_ID',
+	nodeId: setting('node-id', {
 		type: identifier,
 		description: 'name of this node, unique among all nodes',
 	}),
-	availabilityZone: option({
-		long: 'availability-zone',
-		env: 'KUMQUATLINE_AVAILABILITY_ZONE',
+	availabilityZone: setting('availability-zone', {
 		type: identifier,
 		description: 'availability zone of this VM',
 	}),
-	region: option({
-		long: 'region',
-		env: 'KUMQUATLINE_REGION',
+	region: setting('region', {
 		type: identifier,
 		description: 'region of this VM',
 		defaultValue: () => 'default',
 	}),
-	address: option({
-		long: 'address',
-		env: 'KUMQUATLINE_ADDRESS',
+	address: setting('address', {
 		type: ipAddress,
 		description: 'address to listen on and to tell the peers',
 		defaultValue: () => '127.0.0.1',
 	}),
-	callerPort: option({
-		long: 'caller-port',
-		env: 'KUMQUATLINE_CALLER_PORT',
+	callerPort: setting('caller-port', {
 		type: port,
 		description: 'TCP port for callers and operators; 0 takes a free one',
 		defaultValue: () => 7080,
 	}),
-	backendPort: option({
-		long: 'backend-port',
-		env: 'KUMQUATLINE_BACKEND_PORT',
+	backendPort: setting('backend-port', {
 		type: port,
 		description: 'loopback TCP port for this VM\'s backend server; 0 takes a free one',
 		defaultValue: () => 7081,
 	}),
-	peerPort: option({
-		long: 'peer-port',
-		env: 'KUMQUATLINE_PEER_PORT',
+	peerPort: setting('peer-port', {
 		type: port,
 		description: 'TCP port for other nodes; 0 takes a free one',
 		defaultValue: () => 7082,
 	}),
-	gossipPort: option({
-		long: 'gossip-port',
-		env: 'KUMQUATLINE_GOSSIP_PORT',
+	gossipPort: setting('gossip-port', {
 		type: port,
 		description: 'UDP port for other nodes; 0 takes a free one',
 		defaultValue: () => 7082,
 	}),
-	storeUrls: option({
-		long: 'store-urls',
-		env: 'KUMQUATLINE_STORE_URLS',
+	storeUrls: setting('store-urls', {
 		type: urlList,
 		description: 'base URLs of the key-value store, tried in turn',
 	}),
-	leaseTtlMs: option({
-		long: 'lease-ttl-ms',
-		env: 'KUMQUATLINE_LEASE_TTL_MS',
+	leaseTtlMs: setting('lease-ttl-ms', {
 		type: boundedInteger('ms', 2000, 60_000),
 		description: 'time to live of the node\'s lease, in whole seconds',
 		defaultValue: () => 10_000,
 	}),
-	leaseMarginMs: option({
-		long: 'lease-margin-ms',
-		env: 'KUMQUATLINE_LEASE_MARGIN_MS',
+	leaseMarginMs: setting('lease-margin-ms', {
 		type: boundedInteger('ms', 100, 30_000),
 		description: 'rights under the lease end this much before it may',
 		defaultValue: () => 1000,
 	}),
-	clockSkewBoundMs: option({
-		long: 'clock-skew-bound-ms',
-		env: 'KUMQUATLINE_CLOCK_SKEW_BOUND_MS',
+	clockSkewBoundMs: setting('clock-skew-bound-ms', {
 		type: boundedInteger('ms', 0, 10_000),
 		description: 'largest difference between two VMs\' wall clocks',
 		defaultValue: () => 250,
 	}),
-	shutdownTimeoutMs: option({
-		long: 'shutdown-timeout-ms',
-		env: 'KUMQUATLINE_SHUTDOWN_TIMEOUT_MS',
+	shutdownTimeoutMs: setting('shutdown-timeout-ms', {
 		type: boundedInteger('ms', 0, hourMs),
 		description: 'how long a stopping node waits for running work',
 		defaultValue: () => 30_000,
 	}),
-	probeAfterMs: option({
-		long: 'probe-after-ms',
-		env: 'KUMQUATLINE_PROBE_AFTER_MS',
+	probeAfterMs: setting('probe-after-ms', {
 		type: boundedInteger('ms', 10, 60_000),
 		description: 'silence on a connection with work outstanding before it is probed',
 		defaultValue: () => 300,
 	}),
-	abandonAfterMs: option({
-		long: 'abandon-after-ms',
-		env: 'KUMQUATLINE_ABANDON_AFTER_MS',
+	abandonAfterMs: setting('abandon-after-ms', {
 		type: boundedInteger('ms', 10, 60_000),
 		description: 'silence after a probe before the connection is given up',
 		defaultValue: () => 500,
 	}),
-	gossipIntervalMs: option({
-		long: 'gossip-interval-ms',
-		env: 'KUMQUATLINE_GOSSIP_INTERVAL_MS',
+	gossipIntervalMs: setting('gossip-interval-ms', {
 		type: boundedInteger('ms', 20, 10_000),
 		description: 'time between two gossip probes',
 		defaultValue: () => 500,
 	}),
-	logLevel: option({
-		long: 'log-level',
-		env: 'KUMQUATLINE_LOG_LEVEL',
-		type: oneOf(['error', 'warn', 'info', 'debug']),
+	logLevel: setting('log-level', {
+		type: oneOf(['error', 'warn', 'info', 'debug'] as const),
 		description: 'least level that is logged',
-		defaultValue: () => 'info' as const,
+		defaultValue: () => 'info',
 	}),
-	statsdAddress: option({
-		long: 'statsd-address',
-		env: 'KUMQUATLINE_STATSD_ADDRESS',
+	statsdAddress: setting('statsd-address', {
 		type: hostPort,
 		description: 'StatsD server; empty sends nothing',
 		defaultValue: () => '',
 	}),
-	seed: option({
-		long: 'seed',
-		env: 'KUMQUATLINE_SEED',
+	seed: setting('seed', {
 		type: boundedInteger('number', 0, 2_147_483_647),
 		description: 'seed of random choices; 0 takes one from the operating system',
 		defaultValue: () => 0,
--- /dev/null
+++ b/src/platform/settings/setting.ts
@@ -0,0 +1,29 @@
+import {option, type Type} from 'cmd-ts';
+
+type SettingParts<T> = {
+	readonly type: Type<string, T>;
+	readonly description: string;
+	readonly defaultValue?: () => T;
+};
+
+/** A flag with its environment variable, whose errors name the setting. */
+export function setting<T>(long: string, {type, description, defaultValue}: SettingParts<T>): ReturnType<typeof option<Type<string, T>>> {
+	const env = `KUMQUATLINE_${long.toUpperCase().replaceAll('-', '_')}`;
+	const named: Type<string, T> = {
+		...type,
+		async from(value) {
+			try {
+				return await type.from(value);
+			} catch (error) {
+				throw new Error(`--${long} (${env}): ${(error as Error).message}`, {cause: error});
+			}
+		},
+	};
+	return option({
+		long,
+		env,
+		type: named,
+		description,
+		...defaultValue && {defaultValue},
+	});
+}
--- /dev/null
+++ b/standins/graph/child-program.ts
@@ -0,0 +1,88 @@
+import {type ChildProcess, spawn} from 'node:child_process';
+import process from 'node:process';
+import {createInterface} from 'node:readline';
+import {Deferred} from '../../src/base/deferred.js';
+
+const startTimeoutMs = 20_000;
+
+type Line = Readonly<Record<string, unknown>>;
+
+/** One program under test: its JSON lines, its signals and its end. */
+export class ChildProgram {
+	readonly exited: Promise<number | undefined>;
+	private readonly process: ChildProcess;
+	private readonly ready = new Deferred<Line>();
+	private readonly errors: string[] = [];
+
+	/** `isReady` tells the line after which the program can be used. */
+	constructor(readonly name: string, args: readonly string[], private readonly isReady: (line: Line) => boolean) {
+		this.process = spawn(process.execPath, args, {stdio: ['ignore', 'pipe', 'pipe']});
+		this.exited = new Promise(resolve => {
+			this.process.once('close', code => {
+				this.ready.reject(new Error(`${name} ended early with ${code}: ${this.errors.join('\n')}`));
+				resolve(code ?? undefined);
+			});
+		});
+		this.ready.promise.catch(() => undefined); // eslint-disable-line promise/prefer-await-to-then
+		this.readLines();
+	}
+
+	/** The line that says the program is ready. */
+	async start(): Promise<Line> {
+		const timer = setTimeout(() => {
+			this.ready.reject(new Error(`${this.name} was not ready in ${startTimeoutMs} ms: ${this.errors.join('\n')}`));
+		}, startTimeoutMs);
+		try {
+			return await this.ready.promise;
+		} finally {
+			clearTimeout(timer);
+		}
+	}
+
+	/** What the program wrote last to its error output. */
+	get errorOutput(): string {
+		return this.errors.join('\n');
+	}
+
+	signal(name: NodeJS.Signals): void {
+		this.process.kill(name);
+	}
+
+	/** Ends the program at once, frozen or not. */
+	async kill(): Promise<void> {
+		this.process.kill('SIGKILL');
+		await this.exited;
+	}
+
+	/** Asks the program to stop and waits for its status. */
+	async terminate(): Promise<number | undefined> {
+		this.process.kill('SIGTERM');
+		return this.exited;
+	}
+
+	private readLines(): void {
+		const {stdout, stderr} = this.process;
+		if (!stdout || !stderr) {
+			throw new Error('no pipes');
+		}
+
+		createInterface({input: stdout}).on('line', text => {
+			const line = parseLine(text);
+			if (line && this.isReady(line)) {
+				this.ready.resolve(line);
+			}
+		});
+		createInterface({input: stderr}).on('line', text => {
+			this.errors.push(text);
+			this.errors.splice(0, Math.max(0, this.errors.length - 20));
+		});
+	}
+}
+
+function parseLine(text: string): Line | undefined {
+	try {
+		return JSON.parse(text) as Line;
+	} catch {
+		return undefined;
+	}
+}
--- /dev/null
+++ b/standins/graph/node-program.ts
@@ -0,0 +1,106 @@
+import {fileURLToPath} from 'node:url';
+import {ChildProgram} from './child-program.js';
+import {type NodePlan} from './graph-plan.js';
+
+const nodeFile = fileURLToPath(new URL('../../../dist/kumquatline-node', import.meta.url));
+const backendFile = fileURLToPath(new URL('../backend-server/main.js', import.meta.url));
+
+type Ports = {
+	readonly callerPort: number;
+	readonly backendPort: number;
+	readonly peerPort: number;
+	readonly gossipPort: number;
+	readonly incarnation: string;
+};
+
+/** A node process and the process of its backend server. */
+export class NodeProgram {
+	ports!: Ports;
+	/** Port on which the backend server stand-in takes work and faults. */
+	backendServerPort!: number;
+	readonly node: ChildProgram;
+	private backend?: ChildProgram;
+
+	constructor(readonly plan: NodePlan, storeUrl: string, flags: readonly string[], private readonly seed: number) {
+		const {nodeId, availabilityZone, region = 'default'} = plan;
+		const args = [
+			'--node-id',
+			nodeId,
+			'--availability-zone',
+			availabilityZone,
+			'--region',
+			region,
+			'--store-urls',
+			storeUrl,
+			'--caller-port',
+			'0',
+			'--backend-port',
+			'0',
+			'--peer-port',
+			'0',
+			'--gossip-port',
+			'0',
+			'--seed',
+			String(seed),
+			...flags,
+		];
+		this.node = new ChildProgram(nodeId, [nodeFile, ...args], line => line.message === 'listening');
+	}
+
+	get url(): string {
+		return `http://127.0.0.1:${this.ports.callerPort}`;
+	}
+
+	get backendServerUrl(): string {
+		return `http://127.0.0.1:${this.backendServerPort}`;
+	}
+
+	async start(): Promise<void> {
+		this.ports = await this.node.start() as Ports;
+	}
+
+	async startBackend(): Promise<void> {
+		const {service, slots, serviceTimeMs, availabilityZone, nodeId, calls = [], backendFlags = []} = this.plan;
+		const args = [
+			'--node-backend-url',
+			`http://127.0.0.1:${this.ports.backendPort}`,
+			'--service',
+			service,
+			'--slots',
+			String(slots),
+			'--service-time-ms',
+			String(serviceTimeMs),
+			'--zone',
+			availabilityZone,
+			'--seed',
+			String(this.seed),
+			...calls.flatMap(call => ['--calls', call]),
+			...backendFlags,
+		];
+		this.backend = new ChildProgram(`${nodeId} backend server`, [backendFile, ...args], line => line.ready === true);
+		const {port} = await this.backend.start();
+		this.backendServerPort = Number(port);
+	}
+
+	/** Freezes or resumes the node, not its backend server. */
+	freeze(): void {
+		this.node.signal('SIGSTOP');
+	}
+
+	resume(): void {
+		this.node.signal('SIGCONT');
+	}
+
+	async killBackend(): Promise<void> {
+		await this.backend?.kill();
+	}
+
+	/** Stops the backend server as its VM would, and returns its exit status. */
+	async terminateBackend(): Promise<number | undefined> {
+		return this.backend?.terminate();
+	}
+
+	async kill(): Promise<void> {
+		await Promise.all([this.node.kill(), this.killBackend()]);
+	}
+}
--- /dev/null
+++ b/standins/graph/process-graph.ts
@@ -0,0 +1,109 @@
+import {fileURLToPath} from 'node:url';
+import {request} from 'undici';
+import {ChildProgram} from './child-program.js';
+import {type GraphPlan, type NodePlan} from './graph-plan.js';
+import {NodeProgram} from './node-program.js';
+
+const storeFile = fileURLToPath(new URL('../store/main.js', import.meta.url));
+const settleTimeoutMs = 20_000;
+const pollMs = 50;
+
+type StatusMember = {nodeId: string; service?: string; state: string};
+type Status = {policyVersion: number; members: StatusMember[]};
+
+/** A store, nodes and backend servers as separate processes on loopback. */
+export class ProcessGraph {
+	readonly nodes = new Map<string, NodeProgram>();
+	storeUrl = '';
+	private readonly store = new ChildProgram('store', [storeFile], line => line.ready === true);
+
+	constructor(private readonly plan: GraphPlan) {}
+
+	/** Starts everything and waits until each node knows every upstream and the policy. */
+	async start(): Promise<void> {
+		const {port} = await this.store.start();
+		this.storeUrl = `http://127.0.0.1:${Number(port)}`;
+		await Promise.all(this.plan.nodes.map(async node => this.startNode(node)));
+		await this.submitPolicy();
+		await this.whenSettled();
+	}
+
+	/** Starts a node with its backend server; also a replacement for one that ended. */
+	async startNode(plan: NodePlan): Promise<NodeProgram> {
+		const index = this.plan.nodes.indexOf(plan);
+		const program = new NodeProgram(plan, this.storeUrl, this.plan.nodeFlags ?? [], this.plan.seed + index + 1);
+		this.nodes.set(plan.nodeId, program);
+		await program.start();
+		await program.startBackend();
+		return program;
+	}
+
+	node(nodeId: string): NodeProgram {
+		const node = this.nodes.get(nodeId);
+		if (!node) {
+			throw new Error(`no node ${nodeId}`);
+		}
+
+		return node;
+	}
+
+	/** Sets faults of the store stand-in, such as `{outage: true}`. */
+	async setStoreFaults(faults: Readonly<Record<string, unknown>>): Promise<void> {
+		await post(`${this.storeUrl}/faults`, faults);
+	}
+
+	/** Sets faults of one backend server stand-in. */
+	async setBackendFaults(nodeId: string, faults: Readonly<Record<string, unknown>>): Promise<void> {
+		await post(`${this.node(nodeId).backendServerUrl}/stand-in/faults`, faults);
+	}
+
+	async status(nodeId: string): Promise<Status> {
+		const {body} = await request(`${this.node(nodeId).url}/kumquatline/status`);
+		return await body.json() as Status;
+	}
+
+	/** Resolves when every node sees every other serving under the policy. */
+	async whenSettled(): Promise<void> {
+		const startedAtMs = performance.now();
+		for (;;) {
+			const statuses = await Promise.all([...this.nodes.keys()].map(async nodeId => this.status(nodeId)));
+			if (statuses.every(status => isSettled(status, this.nodes.size))) {
+				return;
+			}
+
+			if (performance.now() - startedAtMs > settleTimeoutMs) {
+				throw new Error(`nodes did not settle: ${JSON.stringify(statuses.map(({policyVersion, members}) => ({policyVersion, members})))}`);
+			}
+
+			await new Promise(resolve => {
+				setTimeout(resolve, pollMs);
+			});
+		}
+	}
+
+	/** Ends every process that this graph started. */
+	async dispose(): Promise<void> {
+		await Promise.all([...this.nodes.values()].map(async node => node.kill()));
+		await this.store.kill();
+	}
+
+	private async submitPolicy(): Promise<void> {
+		const [node] = this.nodes.values();
+		if (node) {
+			await post(`${node.url}/kumquatline/policy/init`, this.plan.policy);
+		}
+	}
+}
+
+function isSettled(status: Status, count: number): boolean {
+	const serving = status.members.filter(member => member.state === 'serving');
+	return status.policyVersion > 0 && serving.length === count;
+}
+
+async function post(url: string, body: Readonly<Record<string, unknown>>): Promise<void> {
+	const response = await request(url, {method: 'POST', headers: {'content-type': 'application/json'}, body: JSON.stringify(body)});
+	const text = await response.body.text();
+	if (response.statusCode >= 300) {
+		throw new Error(`${url} answered ${response.statusCode}: ${text}`);
+	}
+}
