--- a/src/services/membership/membership-service.ts
+++ b/src/services/membership/membership-service.ts
@@ -12,8 +12,8 @@
 	find(nodeId: string): Member | undefined;
 	/** Members of a service that take new work, suspects left out. */
 	upstreams(service: string): readonly Member[];
-	/** Registers under the lease and begins to gossip. */
-	start(signal: AbortSignal): Promise<void>;
+	/** Obtains the lease, registers under it and begins to gossip; `callerPort` is the port in use where the settings left it open. */
+	start(signal: AbortSignal, callerPort?: number): Promise<void>;
 	/** Takes over what the VM's backend server says of itself; undefined when it has gone. */
 	announce(announcement: BackendAnnouncement | undefined): void;
 	/** Tells everyone that this node is leaving; it stays in contact until disposed. */
--- /dev/null
+++ b/src/services/membership/store-lease-service.ts
@@ -0,0 +1,204 @@
+import {type Disposable} from '../../base/disposable.js';
+import {Emitter} from '../../base/emitter.js';
+import {Waiter} from '../../base/waiter.js';
+import {LogService} from '../../platform/log/log-service.js';
+import {MetricsService} from '../../platform/metrics/metrics-service.js';
+import {SettingsService} from '../../platform/settings/settings-service.js';
+import {StoreService} from '../../platform/store/store-service.js';
+import {type LeaseService, type Registration} from './lease-service.js';
+import {SeededRandom} from './seeded-random.js';
+
+/** Renewals that fit into one time to live. */
+const renewalsPerTtl = 3;
+/** Share by which a wait between renewals varies, so that nodes spread over the store. */
+const jitterShare = 0.2;
+/** Wait after the first failed call to the store; doubled up to the wait between renewals. */
+const firstRetryMs = 250;
+const maxWriteTries = 3;
+
+/** A lease in the store, renewed by one task; a lapsed one is granted anew. */
+export class StoreLeaseService implements LeaseService, Disposable {
+	readonly onDidGrant;
+	private readonly grantEmitter = new Emitter<string>();
+	private readonly stop = new AbortController();
+	private readonly random: SeededRandom;
+	private readonly waiter = new Waiter();
+	private currentLeaseId: string | undefined;
+	private rightSinceMonotonicMs = 0;
+	private rightSinceWallMs = 0;
+	private registration: Registration | undefined;
+	private writtenUnder: string | undefined;
+	private writtenValue: string | undefined;
+	private writtenRevision = 0;
+	private failures = 0;
+	private starting: Promise<void> | undefined;
+
+	constructor(
+		@SettingsService private readonly settings: SettingsService,
+		@StoreService private readonly store: StoreService,
+		@LogService private readonly log: LogService,
+		@MetricsService private readonly metrics: MetricsService,
+	) {
+		this.onDidGrant = this.grantEmitter.event;
+		this.random = new SeededRandom(settings.settings.seed, settings.settings.nodeId);
+	}
+
+	get leaseId(): string | undefined {
+		return this.currentLeaseId;
+	}
+
+	isHeld(): boolean {
+		if (this.currentLeaseId === undefined || this.writtenUnder !== this.currentLeaseId) {
+			return false;
+		}
+
+		const {leaseTtlMs, leaseMarginMs} = this.settings.settings;
+		const rightMs = leaseTtlMs - leaseMarginMs;
+		return performance.now() < this.rightSinceMonotonicMs + rightMs && Date.now() < this.rightSinceWallMs + rightMs;
+	}
+
+	setRegistration(registration: Registration): void {
+		this.registration = registration;
+		this.waiter.wake();
+	}
+
+	async start(signal: AbortSignal): Promise<void> {
+		this.starting ??= this.begin(signal);
+		return this.starting;
+	}
+
+	async revoke(signal: AbortSignal): Promise<void> {
+		this.stop.abort();
+		const leaseId = this.currentLeaseId;
+		this.currentLeaseId = undefined;
+		if (leaseId !== undefined) {
+			await this.store.revokeLease(leaseId, signal);
+		}
+	}
+
+	dispose(): void {
+		this.stop.abort();
+		this.currentLeaseId = undefined;
+		this.grantEmitter.dispose();
+	}
+
+	private async begin(signal: AbortSignal): Promise<void> {
+		signal.addEventListener('abort', () => {
+			this.stop.abort();
+		});
+		const stopped = this.stop.signal;
+		await this.attempt(stopped);
+		void this.keep(stopped);
+	}
+
+	/** The task that renews until it is stopped. */
+	private async keep(stopped: AbortSignal): Promise<void> {
+		while (!stopped.aborted) {
+			await this.waiter.wait(this.pauseMs(), stopped);
+			if (!stopped.aborted) {
+				await this.attempt(stopped);
+			}
+		}
+	}
+
+	private pauseMs(): number {
+		const renewalMs = this.settings.settings.leaseTtlMs / renewalsPerTtl;
+		const waitMs = this.failures === 0 ? renewalMs : Math.min(renewalMs, firstRetryMs * (2 ** (this.failures - 1)));
+		return this.random.jitter(waitMs, jitterShare);
+	}
+
+	private async attempt(stopped: AbortSignal): Promise<void> {
+		try {
+			await (this.currentLeaseId === undefined ? this.grant(stopped) : this.renew(stopped));
+			await this.writeRegistration(stopped);
+			this.failures = 0;
+		} catch (error) {
+			this.failures++;
+			this.metrics.count('lease.failed');
+			this.log.debug('lease call failed', {reason: String(error)});
+		}
+	}
+
+	private async grant(stopped: AbortSignal): Promise<void> {
+		const monotonicMs = performance.now();
+		const wallMs = Date.now();
+		const leaseId = await this.store.grantLease(this.settings.settings.leaseTtlMs, stopped);
+		if (stopped.aborted) {
+			return;
+		}
+
+		this.currentLeaseId = leaseId;
+		this.rightSinceMonotonicMs = monotonicMs;
+		this.rightSinceWallMs = wallMs;
+		this.metrics.count('lease.granted');
+	}
+
+	private async renew(stopped: AbortSignal): Promise<void> {
+		const leaseId = this.currentLeaseId!;
+		const monotonicMs = performance.now();
+		const wallMs = Date.now();
+		if (await this.store.renewLease(leaseId, stopped)) {
+			this.rightSinceMonotonicMs = monotonicMs;
+			this.rightSinceWallMs = wallMs;
+			return;
+		}
+
+		this.log.warn('lease lapsed', {leaseId});
+		this.metrics.count('lease.lapsed');
+		this.currentLeaseId = undefined;
+		this.writtenRevision = 0;
+		await this.grant(stopped);
+	}
+
+	private async writeRegistration(stopped: AbortSignal): Promise<void> {
+		const leaseId = this.currentLeaseId;
+		const {registration} = this;
+		if (leaseId === undefined || !registration || (this.writtenUnder === leaseId && this.writtenValue === registration.value)) {
+			return;
+		}
+
+		for (let tries = 0; tries < maxWriteTries; tries++) {
+			if (await this.tryWrite(registration, leaseId, stopped)) {
+				this.noteWritten(registration.value, leaseId);
+				return;
+			}
+		}
+
+		throw new Error(`registration ${registration.key} is contended`);
+	}
+
+	/** One compare-and-swap against the revision known last; an entry found to be ours counts as written. */
+	private async tryWrite(registration: Registration, leaseId: string, stopped: AbortSignal): Promise<boolean> {
+		const result = await this.store.compareAndSwap(registration.key, this.writtenRevision, registration.value, leaseId, stopped);
+		if (result.swapped) {
+			this.writtenRevision = result.modRevision;
+			return true;
+		}
+
+		const found = result.current;
+		this.writtenRevision = found?.modRevision ?? 0;
+		if (!found) {
+			return false;
+		}
+
+		if (found.value === registration.value && found.leaseId === leaseId) {
+			return true;
+		}
+
+		if (!registration.mayReplace(found.value)) {
+			this.metrics.count('lease.superseded');
+			throw new Error(`registration ${registration.key} belongs to a newer run of the node`);
+		}
+
+		return false;
+	}
+
+	private noteWritten(value: string, leaseId: string): void {
+		const isNew = this.writtenUnder !== leaseId;
+		this.writtenUnder = leaseId;
+		this.writtenValue = value;
+		if (isNew) {
+			this.grantEmitter.fire(leaseId);
+		}
+	}
+}
