--- /dev/null
+++ b/src/platform/peer/call-memory.ts
@@ -0,0 +1,110 @@
+import {ErrorKind} from '../../base/error-kind.js';
+import {type CallOutcome} from './call-outcome.js';
+import {estimateSizeBytes} from './estimate-size-bytes.js';
+
+type RememberedCall = {
+	readonly outcome: Promise<CallOutcome>;
+	readonly controller: AbortController;
+	/** Node ids that still wait for the outcome. */
+	readonly waiting: Set<string>;
+	expiresAtMs: number;
+};
+
+type SettledCall = {
+	readonly call: RememberedCall;
+	readonly sizeBytes: number;
+};
+
+const sweepIntervalMs = 1000;
+const maxOutcomeBytes = 16_777_216;
+const forgotten: CallOutcome = {error: {kind: ErrorKind.PeerLost, message: 'the outcome of the call is kept no longer'}};
+
+/** Remembers the calls that were received, each until no copy of it may begin any more. */
+export class CallMemory {
+	private readonly calls = new Map<string, RememberedCall>();
+	private readonly settled = new Map<string, SettledCall>();
+	private settledBytes = 0;
+	private sweptAtMs = 0;
+
+	get size(): number {
+		return this.calls.size;
+	}
+
+	/** The outcome of a call that was received before, for one more sender. */
+	join(key: string, sender: string): Promise<CallOutcome> | undefined {
+		const call = this.calls.get(key);
+		call?.waiting.add(sender);
+		return call?.outcome;
+	}
+
+	/** Begins a call that was not received before. */
+	async begin(key: string, sender: string, expiresAtMs: number, run: (controller: AbortController) => Promise<CallOutcome>): Promise<CallOutcome> {
+		this.sweep();
+		const controller = new AbortController();
+		const outcome = run(controller);
+		const call = {
+			outcome, controller, waiting: new Set([sender]), expiresAtMs,
+		};
+		this.calls.set(key, call);
+		void this.settle(key, call);
+		return outcome;
+	}
+
+	/** Ends the wait of a sender; the call is aborted when no other waits. One that was not received yet will not run. */
+	cancel(key: string, sender: string, expiresAtMs: number): void {
+		const call = this.calls.get(key);
+		if (!call) {
+			const error = {kind: ErrorKind.CallerGone, message: 'cancelled before it arrived', started: false};
+			void this.begin(key, sender, expiresAtMs, async () => ({error}));
+			return;
+		}
+
+		call.waiting.delete(sender);
+		if (call.waiting.size === 0) {
+			call.controller.abort();
+		}
+	}
+
+	abortAll(): void {
+		for (const call of this.calls.values()) {
+			call.controller.abort();
+		}
+	}
+
+	private async settle(key: string, call: RememberedCall): Promise<void> {
+		const sizeBytes = estimateSizeBytes(await call.outcome);
+		this.settled.set(key, {call, sizeBytes});
+		this.settledBytes += sizeBytes;
+		for (const [oldestKey, oldest] of this.settled) {
+			if (this.settledBytes <= maxOutcomeBytes) {
+				return;
+			}
+
+			this.release(oldestKey, oldest);
+			this.calls.set(oldestKey, {...oldest.call, outcome: Promise.resolve(forgotten)});
+		}
+	}
+
+	private release(key: string, settled: SettledCall): void {
+		this.settled.delete(key);
+		this.settledBytes -= settled.sizeBytes;
+	}
+
+	private sweep(): void {
+		const nowMs = Date.now();
+		if (nowMs - this.sweptAtMs < sweepIntervalMs) {
+			return;
+		}
+
+		this.sweptAtMs = nowMs;
+		for (const [key, call] of this.calls) {
+			if (call.expiresAtMs < nowMs) {
+				this.calls.delete(key);
+				const settled = this.settled.get(key);
+				if (settled) {
+					this.release(key, settled);
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/src/platform/peer/call-receiver.ts
@@ -0,0 +1,96 @@
+import {
+	JSONRPCServer, createJSONRPCErrorResponse, createJSONRPCSuccessResponse, type JSONRPCRequest, type JSONRPCResponse,
+} from 'json-rpc-2.0';
+import {type Disposable} from '../../base/disposable.js';
+import {ErrorKind} from '../../base/error-kind.js';
+import {KumquatlineError} from '../../base/kumquatline-error.js';
+import {toDisposable} from '../../base/to-disposable.js';
+import {toWireError} from '../../base/to-wire-error.js';
+import {CallMemory} from './call-memory.js';
+import {type CallOutcome} from './call-outcome.js';
+import {type PeerConnection} from './peer-connection.js';
+import {type PeerIdentity} from './peer-identity.js';
+import {type PeerCall} from './peer-service.js';
+import {type WireCall} from './wire-call.js';
+
+type Handler = (params: unknown, call: PeerCall) => Promise<unknown>;
+
+/** Code of errors whose data is a `WireError`. */
+const applicationErrorCode = -32_000;
+
+/** Runs the calls that arrive, each call id once. */
+export class CallReceiver implements Disposable {
+	readonly server = new JSONRPCServer<PeerConnection>({errorListener() {/* Errors travel in the response. */}});
+	private readonly handlers = new Map<string, Handler>();
+	private readonly memory = new CallMemory();
+
+	constructor(private readonly clockSkewBoundMs: number) {
+		this.server.addMethod('ping', () => true);
+		this.server.addMethod('cancel', ({id, deadlineAtMs}: {id: string; deadlineAtMs: number}, connection) => {
+			this.cancel(id, connection.knownPeer!, deadlineAtMs);
+		});
+	}
+
+	handle(method: string, handler: Handler): Disposable {
+		this.handlers.set(method, handler);
+		this.server.addMethodAdvanced(method, async (request, connection) => this.respond(request, connection.knownPeer!));
+		return toDisposable(() => {
+			this.handlers.delete(method);
+			this.server.removeMethod(method);
+		});
+	}
+
+	/** Runs a call, or joins the one of the same id. */
+	async receive(id: string, method: string, wireCall: WireCall, from: PeerIdentity): Promise<CallOutcome> {
+		const known = this.memory.join(id, from.nodeId);
+		if (known) {
+			return known;
+		}
+
+		const nowMs = Date.now();
+		const startByMs = wireCall.deadlineAtMs + this.clockSkewBoundMs;
+		if (nowMs > startByMs) {
+			return {error: {kind: ErrorKind.DeadlineExceeded, message: 'the call arrived after its deadline', started: false}};
+		}
+
+		const expiresAtMs = Math.max(startByMs, nowMs + wireCall.timeoutMs);
+		return this.memory.begin(id, from.nodeId, expiresAtMs, async controller => this.run(id, method, wireCall, from, controller));
+	}
+
+	cancel(id: string, from: PeerIdentity, deadlineAtMs: number): void {
+		this.memory.cancel(id, from.nodeId, deadlineAtMs + this.clockSkewBoundMs);
+	}
+
+	dispose(): void {
+		this.memory.abortAll();
+	}
+
+	private async run(id: string, method: string, wireCall: WireCall, from: PeerIdentity, controller: AbortController): Promise<CallOutcome> {
+		const timer = setTimeout(() => {
+			controller.abort();
+		}, Math.max(0, wireCall.timeoutMs));
+		try {
+			const handler = this.handlers.get(method);
+			if (!handler) {
+				throw new KumquatlineError(ErrorKind.PeerProtocol, `method ${method} is not known`, {started: false});
+			}
+
+			const callId = id.slice(method.length + 1);
+			return {result: await handler(wireCall.params, {from, callId, signal: controller.signal})};
+		} catch (error) {
+			return {error: toWireError(error)};
+		} finally {
+			clearTimeout(timer);
+		}
+	}
+
+	private async respond(request: JSONRPCRequest, from: PeerIdentity): Promise<JSONRPCResponse> {
+		const id = String(request.id);
+		const outcome = await this.receive(id, request.method, request.params as WireCall, from);
+		if (outcome.error) {
+			return createJSONRPCErrorResponse(id, applicationErrorCode, outcome.error.message, outcome.error);
+		}
+
+		return createJSONRPCSuccessResponse(id, outcome.result);
+	}
+}
--- /dev/null
+++ b/src/platform/peer/estimate-size-bytes.ts
@@ -0,0 +1,19 @@
+const scalarBytes = 8;
+
+/** Roughly the memory that a JSON value holds. */
+export function estimateSizeBytes(value: unknown): number {
+	if (typeof value === 'string') {
+		return value.length + scalarBytes;
+	}
+
+	if (typeof value !== 'object' || value === null) {
+		return scalarBytes;
+	}
+
+	let sizeBytes = scalarBytes;
+	for (const item of Object.values(value)) {
+		sizeBytes += estimateSizeBytes(item);
+	}
+
+	return sizeBytes;
+}
--- /dev/null
+++ b/src/platform/peer/frame-decoder.ts
@@ -0,0 +1,55 @@
+import {Buffer} from 'node:buffer';
+import {ErrorKind} from '../../base/error-kind.js';
+import {KumquatlineError} from '../../base/kumquatline-error.js';
+
+/** Size of the length that precedes each frame. */
+const headerBytes = 4;
+
+/** Cuts a byte stream into length-prefixed frames (unsigned, big-endian). */
+export class FrameDecoder {
+	private chunks: Uint8Array[] = [];
+	private bufferedBytes = 0;
+	private neededBytes = headerBytes;
+
+	constructor(private readonly maxFrameBytes: number) {}
+
+	/** Yields the frames that a chunk completes; throws `peer-protocol` for one that is too long. */
+	* push(chunk: Uint8Array): Generator<string> {
+		this.chunks.push(chunk);
+		this.bufferedBytes += chunk.length;
+		while (this.bufferedBytes >= this.neededBytes) {
+			const buffer = this.joined();
+			const lengthBytes = buffer.readUInt32BE(0);
+			this.checkLength(lengthBytes);
+			const endBytes = headerBytes + lengthBytes;
+			if (buffer.length < endBytes) {
+				this.neededBytes = endBytes;
+				return;
+			}
+
+			this.keep(buffer.subarray(endBytes));
+			yield buffer.toString('utf8', headerBytes, endBytes);
+		}
+	}
+
+	private checkLength(lengthBytes: number): void {
+		if (lengthBytes > this.maxFrameBytes) {
+			throw new KumquatlineError(ErrorKind.PeerProtocol, `frame of ${lengthBytes} bytes exceeds ${this.maxFrameBytes}`);
+		}
+	}
+
+	private joined() {
+		if (this.chunks.length > 1) {
+			this.chunks = [Buffer.concat(this.chunks)];
+		}
+
+		const [chunk] = this.chunks;
+		return Buffer.from(chunk.buffer, chunk.byteOffset, chunk.length);
+	}
+
+	private keep(rest: Uint8Array): void {
+		this.chunks = [rest];
+		this.bufferedBytes = rest.length;
+		this.neededBytes = headerBytes;
+	}
+}
--- /dev/null
+++ b/src/platform/peer/peer-link.ts
@@ -0,0 +1,114 @@
+import {type JSONRPCResponse} from 'json-rpc-2.0';
+import {ErrorKind} from '../../base/error-kind.js';
+import {KumquatlineError} from '../../base/kumquatline-error.js';
+import {fromWireError} from '../../base/from-wire-error.js';
+import {type WireError} from '../../base/wire-error.js';
+import {type PeerAddress} from './peer-address.js';
+import {type PeerConnection} from './peer-connection.js';
+
+/** A call on its way, with how far it has come. */
+export type LinkCall = {
+	readonly id: string;
+	readonly method: string;
+	readonly params: unknown;
+	readonly deadlineAtMs: number;
+	/** Whether bytes of the call may have reached the peer. */
+	sent: boolean;
+	/** Whether the call's time is over or its caller gone. */
+	ended: boolean;
+};
+
+/** Connections that one call may outlive. */
+const maxResends = 3;
+
+/** The way to one run of a peer: at most one connection, replaced when it is lost. */
+export class PeerLink {
+	private connecting: Promise<PeerConnection> | undefined;
+	private connection: PeerConnection | undefined;
+
+	constructor(readonly peer: PeerAddress, private readonly dial: (peer: PeerAddress) => Promise<PeerConnection>) {}
+
+	/** Uses a connection that the peer has opened, if there is none. */
+	adopt(connection: PeerConnection): void {
+		if (!this.connecting && !this.isOpen()) {
+			this.connection = connection;
+		}
+	}
+
+	/** Sends the call, and sends it again under its id when its connection is lost. */
+	async call(call: LinkCall): Promise<unknown> {
+		for (let sends = 0; sends <= maxResends && !call.ended; sends++) {
+			const connection = await this.connect(call);
+			await connection.whenWritable();
+			if (call.ended) {
+				break;
+			}
+
+			if (connection.isClosed) {
+				continue;
+			}
+
+			call.sent = true;
+			const response = await connection.request(call.id, call.method, {
+				timeoutMs: call.deadlineAtMs - Date.now(),
+				deadlineAtMs: call.deadlineAtMs,
+				params: call.params,
+			});
+			if (response) {
+				return resultOf(response);
+			}
+		}
+
+		throw this.lost(call, 'its connections were lost');
+	}
+
+	/** Tells the peer that nobody waits for a call any more. */
+	cancel(call: LinkCall): void {
+		if (call.sent) {
+			this.connection?.notify('cancel', {id: call.id, deadlineAtMs: call.deadlineAtMs});
+		}
+	}
+
+	private isOpen(): boolean {
+		return this.connection !== undefined && !this.connection.isClosed;
+	}
+
+	private async connect(call: LinkCall): Promise<PeerConnection> {
+		if (this.isOpen()) {
+			return this.connection!;
+		}
+
+		this.connecting ??= this.open();
+		try {
+			return await this.connecting;
+		} catch (error) {
+			throw call.sent ? this.lost(call, 'it can not be reached any more', error) : error;
+		}
+	}
+
+	private async open(): Promise<PeerConnection> {
+		try {
+			this.connection = await this.dial(this.peer);
+			return this.connection;
+		} finally {
+			this.connecting = undefined;
+		}
+	}
+
+	private lost(call: LinkCall, reason: string, cause?: unknown): KumquatlineError {
+		if (!call.sent) {
+			return new KumquatlineError(ErrorKind.PeerUnreachable, `node ${this.peer.nodeId}: ${reason}`, {started: false, cause});
+		}
+
+		return new KumquatlineError(ErrorKind.PeerLost, `node ${this.peer.nodeId}: ${reason}`, {cause});
+	}
+}
+
+function resultOf(response: JSONRPCResponse): unknown {
+	if (!response.error) {
+		return response.result;
+	}
+
+	const error = response.error as {message: string; data?: WireError};
+	throw error.data ? fromWireError(error.data) : new KumquatlineError(ErrorKind.PeerProtocol, error.message);
+}
--- /dev/null
+++ b/src/platform/peer/silence-watch.ts
@@ -0,0 +1,69 @@
+import {type Disposable} from '../../base/disposable.js';
+
+type SilenceActions = {
+	/** Asks the other end for a sign of life. */
+	probe(): void;
+	/** Gives the connection up. */
+	abandon(): void;
+};
+
+/** Watches a connection for silence while something is outstanding on it. */
+export class SilenceWatch implements Disposable {
+	private timer: NodeJS.Timeout | undefined;
+	private quietSinceMs = 0;
+	private probed = false;
+
+	constructor(
+		private readonly probeAfterMs: number,
+		private readonly abandonAfterMs: number,
+		private readonly actions: SilenceActions,
+	) {}
+
+	begin(outstanding: number): void {
+		if (outstanding > 1 || this.timer) {
+			return;
+		}
+
+		this.noteReceived();
+		this.arm(this.probeAfterMs);
+	}
+
+	end(outstanding: number): void {
+		if (outstanding === 0) {
+			this.dispose();
+		}
+	}
+
+	noteReceived(): void {
+		this.quietSinceMs = performance.now();
+		this.probed = false;
+	}
+
+	dispose(): void {
+		clearTimeout(this.timer);
+		this.timer = undefined;
+	}
+
+	private arm(delayMs: number): void {
+		this.timer = setTimeout(() => {
+			this.check();
+		}, delayMs);
+	}
+
+	private check(): void {
+		const quietMs = performance.now() - this.quietSinceMs;
+		if (this.probed) {
+			this.actions.abandon();
+			return;
+		}
+
+		if (quietMs < this.probeAfterMs) {
+			this.arm(this.probeAfterMs - quietMs);
+			return;
+		}
+
+		this.probed = true;
+		this.arm(this.abandonAfterMs);
+		this.actions.probe();
+	}
+}
--- /dev/null
+++ b/src/platform/peer/test/framed-peer-service.test.ts
@@ -0,0 +1,84 @@
+import {once} from 'node:events';
+import {setImmediate as nextTurn} from 'node:timers/promises';
+import test from 'ava';
+import {Deferred} from '../../../base/deferred.js';
+import {ErrorKind} from '../../../base/error-kind.js';
+import {KumquatlineError} from '../../../base/kumquatline-error.js';
+import {PeerMethod} from '../peer-method.js';
+import {startPeer} from './peer-fixture.js';
+
+const echo = new PeerMethod<{text: string}, {text: string}>('echo');
+const timeoutMs = 10_000;
+
+test('a peer answers, and a call to this node itself goes to its own handler', async t => {
+	const [left, right] = [await startPeer('left'), await startPeer('right')];
+	for (const {peers} of [left, right]) {
+		peers.handle(echo, async ({text}) => ({text: `${peers.self.nodeId}: ${text}`}));
+	}
+
+	t.deepEqual(await left.peers.call(right.peers.self, echo, {text: 'a'}, {timeoutMs}), {text: 'right: a'});
+	t.deepEqual(await left.peers.call(left.peers.self, echo, {text: 'b'}, {timeoutMs}), {text: 'left: b'});
+	left.kernel.dispose();
+	right.kernel.dispose();
+});
+
+test('an error of the handler arrives with its kind and facts', async t => {
+	const [left, right] = [await startPeer('left'), await startPeer('right')];
+	right.peers.handle(echo, async () => {
+		throw new KumquatlineError(ErrorKind.Overloaded, 'full', {started: false, retryAfterMs: 40});
+	});
+	const error = await t.throwsAsync<KumquatlineError>(left.peers.call(right.peers.self, echo, {text: ''}, {timeoutMs}));
+	t.like(error, {kind: ErrorKind.Overloaded, started: false, retryAfterMs: 40});
+	left.kernel.dispose();
+	right.kernel.dispose();
+});
+
+test('a repeated call id joins the call there is and later gets the same result', async t => {
+	const [left, other, right] = [await startPeer('left'), await startPeer('other'), await startPeer('right')];
+	const gate = new Deferred<void>();
+	let runs = 0;
+	right.peers.handle(echo, async ({text}) => {
+		runs++;
+		await gate.promise;
+		return {text: `${text} ${runs}`};
+	});
+	const options = {timeoutMs, callId: 'same'};
+	const first = left.peers.call(right.peers.self, echo, {text: 'x'}, options);
+	const second = other.peers.call(right.peers.self, echo, {text: 'x'}, options);
+	gate.resolve();
+	t.deepEqual([await first, await second], [{text: 'x 1'}, {text: 'x 1'}]);
+	t.deepEqual(await left.peers.call(right.peers.self, echo, {text: 'x'}, options), {text: 'x 1'});
+	for (const {kernel} of [left, other, right]) {
+		kernel.dispose();
+	}
+});
+
+test('a cancelled call aborts at the peer', async t => {
+	const [left, right] = [await startPeer('left'), await startPeer('right')];
+	const began = new Deferred<AbortSignal>();
+	right.peers.handle(echo, async (_parameters, {signal}) => {
+		began.resolve(signal);
+		return new Deferred<{text: string}>().promise;
+	});
+	const controller = new AbortController();
+	const call = left.peers.call(right.peers.self, echo, {text: ''}, {timeoutMs, signal: controller.signal});
+	const signal = await began.promise;
+	const aborted = once(signal, 'abort');
+	controller.abort();
+	const error = await t.throwsAsync<KumquatlineError>(call);
+	t.is(error?.kind, ErrorKind.CallerGone);
+	await aborted;
+	left.kernel.dispose();
+	right.kernel.dispose();
+});
+
+test('an address that nobody or another run answers', async t => {
+	const [left, right] = [await startPeer('left'), await startPeer('right')];
+	const changed = {...right.peers.self, incarnation: 'earlier'};
+	t.like(await t.throwsAsync(left.peers.call(changed, echo, {text: ''}, {timeoutMs})), {kind: ErrorKind.PeerChanged, started: false});
+	const address = right.peers.self;
+	right.kernel.dispose();
+	await nextTurn();
+	t.like(await t.throwsAsync(left.peers.call(address, echo, {text: ''}, {timeoutMs})), {kind: ErrorKind.PeerUnreachable, started: false});
+	left.kernel.dispose();
+});
--- /dev/null
+++ b/src/platform/peer/test/peer-fixture.ts
@@ -0,0 +1,53 @@
+import {v7 as createUuid} from 'uuid';
+import {Kernel} from '../../kernel/kernel.js';
+import {LogService} from '../../log/log-service.js';
+import {MetricsService} from '../../metrics/metrics-service.js';
+import {StatsdMetricsService} from '../../metrics/statsd-metrics-service.js';
+import {type NodeSettings} from '../../settings/node-settings.js';
+import {SettingsService} from '../../settings/settings-service.js';
+import {FramedPeerService} from '../framed-peer-service.js';
+import {PeerService} from '../peer-service.js';
+
+const quietLog: LogService = {
+	debug() {/* Quiet. */},
+	info() {/* Quiet. */},
+	warn() {/* Quiet. */},
+	error() {/* Quiet. */},
+};
+
+/** Settings of a node in tests: loopback, every port chosen by the kernel. */
+export function testSettings(nodeId: string): NodeSettings {
+	return {
+		nodeId,
+		address: '127.0.0.1',
+		availabilityZone: 'zone-a',
+		region: 'test',
+		callerPort: 0,
+		backendPort: 0,
+		peerPort: 0,
+		gossipPort: 0,
+		storeUrls: [],
+		leaseTtlMs: 3000,
+		leaseMarginMs: 500,
+		clockSkewBoundMs: 100,
+		shutdownTimeoutMs: 5000,
+		probeAfterMs: 100,
+		abandonAfterMs: 100,
+		gossipIntervalMs: 200,
+		logLevel: 'error',
+		statsdAddress: '',
+		seed: 1,
+	};
+}
+
+/** A kernel with a peer service that listens on loopback. */
+export async function startPeer(nodeId: string, incarnation = createUuid()) {
+	const kernel = new Kernel()
+		.registerInstance(SettingsService, {settings: testSettings(nodeId), incarnation})
+		.registerInstance(LogService, quietLog)
+		.register(MetricsService, StatsdMetricsService)
+		.register(PeerService, FramedPeerService);
+	const peers = kernel.get(PeerService);
+	await peers.listen();
+	return {kernel, peers, metrics: kernel.get(MetricsService)};
+}
