Add the etcd store client and its stand-in

Change: calls bounded in time, a silent call costs its pool; reads and renewals are repeated once over a new connection, swaps never; watches are compared with readings by revision (min_mod_revision and count), which replace silent ones.

--- a/src/platform/store/store-service.ts
+++ b/src/platform/store/store-service.ts
@@ -46,9 +46,10 @@
 	revokeLease(leaseId: string, signal?: AbortSignal): Promise<void>;
 	/**
 	Reports every change under a prefix, beginning with the present entries, until disposed.
-	A silent or broken watch is replaced by a new listing, so that a listener sees the latest state but maybe not each step.
+	A listener sees the latest state but maybe not each step: every `checkIntervalMs` the watch is compared with
+	a reading by revision, which replaces a watch that is silent or broken.
 	*/
-	watch(prefix: string, listener: (change: StoreChange) => void): Disposable;
+	watch(prefix: string, listener: (change: StoreChange) => void, checkIntervalMs?: number): Disposable;
 }
 
 export const StoreService = createServiceId<StoreService>('store');
--- /dev/null
+++ b/standins/store/store-stand-in.ts
@@ -0,0 +1,202 @@
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {type AddressInfo, type Socket} from 'node:net';
+import {text} from 'node:stream/consumers';
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {type RandomGenerator} from 'pure-rand/types/RandomGenerator';
+import {type Disposable} from '../../src/base/disposable.js';
+import {type StoreFaults} from './store-faults.js';
+import {StoreRequests} from './store-requests.js';
+import {StoreState} from './store-state.js';
+import {StoreWatch} from './store-watch.js';
+
+const writePaths = new Set(['/v3/kv/txn', '/v3/lease/grant', '/v3/lease/revoke', '/v3/lease/keepalive']);
+
+/** Stand-in for the platform's key-value store: a subset of the etcd v3 JSON gateway, in memory, with faults on demand. */
+export class StoreStandIn implements Disposable {
+	readonly state = new StoreState();
+	private readonly requests = new StoreRequests(this.state);
+	private readonly server: Server;
+	private readonly sockets = new Set<Socket>();
+	private readonly silentSockets = new WeakSet<Socket>();
+	private readonly watches = new Set<StoreWatch>();
+	private readonly counts = new Map<string, number>();
+	private readonly timers = new Set<NodeJS.Timeout>();
+	private outage = false;
+	private slowMs = 0;
+	private loseAnswers = 0;
+	private random: RandomGenerator = xoroshiro128plus(1);
+
+	constructor() {
+		this.server = createServer((request, response) => {
+			void this.handle(request, response);
+		});
+		this.server.on('connection', socket => {
+			this.sockets.add(socket);
+			socket.on('close', () => this.sockets.delete(socket));
+		});
+	}
+
+	get port(): number {
+		return (this.server.address() as AddressInfo).port;
+	}
+
+	get url(): string {
+		return `http://127.0.0.1:${this.port}`;
+	}
+
+	/** Watches open now, the silent ones included. */
+	get openWatches(): number {
+		return this.watches.size;
+	}
+
+	async listen(port = 0): Promise<void> {
+		return new Promise((resolve, reject) => {
+			this.server.once('error', reject);
+			this.server.listen(port, '127.0.0.1', resolve);
+		});
+	}
+
+	/** Calls by path since the start; each watch counts as one. */
+	callCounts(): Record<string, number> {
+		return Object.fromEntries(this.counts);
+	}
+
+	setFaults(faults: StoreFaults): void {
+		this.outage = faults.outage ?? this.outage;
+		this.slowMs = faults.slowMs ?? this.slowMs;
+		this.loseAnswers = faults.loseAnswers ?? this.loseAnswers;
+		if (faults.seed !== undefined) {
+			this.random = xoroshiro128plus(faults.seed);
+		}
+
+		if (faults.silentWatches) {
+			for (const watch of this.watches) {
+				watch.silence();
+			}
+		}
+
+		if (faults.silent) {
+			this.silenceConnections();
+		}
+
+		if (faults.outage) {
+			this.cutConnections();
+		}
+	}
+
+	dispose(): void {
+		this.server.close();
+		this.cutConnections();
+		for (const timer of this.timers) {
+			clearTimeout(timer);
+		}
+
+		this.state.dispose();
+	}
+
+	private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const path = request.url ?? '';
+		if (!path.startsWith('/v3/')) {
+			await this.handleControl(path, request, response);
+			return;
+		}
+
+		if (this.outage) {
+			request.socket.destroy();
+			return;
+		}
+
+		if (this.silentSockets.has(request.socket)) {
+			return;
+		}
+
+		this.counts.set(path, (this.counts.get(path) ?? 0) + 1);
+		const body: unknown = JSON.parse(await text(request));
+		if (path === '/v3/watch') {
+			this.openWatch(body, response);
+			return;
+		}
+
+		const {status, answer} = this.answer(path, body);
+		this.later(() => {
+			this.reply(path, response, status, answer);
+		});
+	}
+
+	private answer(path: string, body: unknown): {status: number; answer: unknown} {
+		try {
+			return {status: 200, answer: this.requests.answer(path, body)};
+		} catch (error) {
+			const {message} = (error as Error);
+			const notFound = message.includes('not found');
+			return {status: notFound ? 404 : 400, answer: {error: message, code: notFound ? 5 : 3, message}};
+		}
+	}
+
+	private reply(path: string, response: ServerResponse, status: number, answer: unknown): void {
+		if (this.silentSockets.has(response.req.socket)) {
+			return;
+		}
+
+		if (writePaths.has(path) && this.loseAnswers > 0 && uniformFloat64(this.random) < this.loseAnswers) {
+			response.req.socket.destroy();
+			return;
+		}
+
+		response.writeHead(status, {'content-type': 'application/json'});
+		response.end(JSON.stringify(answer));
+	}
+
+	private openWatch(body: unknown, response: ServerResponse): void {
+		const watch = new StoreWatch(this.state, body, change => {
+			this.later(change);
+		}, response);
+		this.watches.add(watch);
+		response.on('close', () => {
+			this.watches.delete(watch);
+			watch.dispose();
+		});
+	}
+
+	private later(action: () => void): void {
+		if (this.slowMs === 0) {
+			action();
+			return;
+		}
+
+		const timer = setTimeout(() => {
+			this.timers.delete(timer);
+			action();
+		}, this.slowMs);
+		this.timers.add(timer);
+	}
+
+	private async handleControl(path: string, request: IncomingMessage, response: ServerResponse): Promise<void> {
+		if (path === '/faults') {
+			this.setFaults(JSON.parse(await text(request)) as StoreFaults);
+		}
+
+		const known = path === '/faults' || path === '/counts';
+		response.writeHead(known ? 200 : 404, {'content-type': 'application/json', connection: 'close'});
+		response.end(JSON.stringify({calls: this.callCounts(), openWatches: this.openWatches}));
+	}
+
+	private silenceConnections(): void {
+		for (const socket of this.sockets) {
+			this.silentSockets.add(socket);
+		}
+
+		for (const watch of this.watches) {
+			watch.silence();
+		}
+	}
+
+	private cutConnections(): void {
+		for (const socket of this.sockets) {
+			socket.destroy();
+		}
+	}
+}
--- /dev/null
+++ b/standins/store/test/etcd-store-service.test.ts
@@ -0,0 +1,130 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import test from 'ava';
+import {openStore} from './open-store.js';
+import {WatchRecorder} from './watch-recorder.js';
+
+const pollMs = 5;
+
+test('a swap takes effect only on the revision it expects', async t => {
+	const {store} = await openStore(t);
+	const first = await store.compareAndSwap('/a', 0, 'one');
+	t.true(first.swapped);
+	const second = await store.compareAndSwap('/a', 0, 'two');
+	t.false(second.swapped);
+	t.is(second.current?.value, 'one');
+	const third = await store.compareAndSwap('/a', first.modRevision, 'three');
+	t.true(third.swapped);
+	const read = await store.get('/a');
+	t.is(read?.value, 'three');
+	t.false(await store.compareAndDelete('/a', first.modRevision));
+	const {entries} = await store.list('/');
+	t.is(entries.length, 1);
+	t.true(await store.compareAndDelete('/a', entries[0].modRevision));
+	t.is(await store.get('/a'), undefined);
+});
+
+test('a key goes with its lease', async t => {
+	const {store} = await openStore(t);
+	const leaseId = await store.grantLease(1000);
+	const swap = await store.compareAndSwap('/leased', 0, 'x', leaseId);
+	t.true(swap.swapped);
+	t.true(await store.renewLease(leaseId));
+	const read = await store.get('/leased');
+	t.is(read?.leaseId, leaseId);
+	await store.revokeLease(leaseId);
+	t.is(await store.get('/leased'), undefined);
+	t.false(await store.renewLease(leaseId));
+	await t.throwsAsync(store.compareAndSwap('/leased', 0, 'y', leaseId), {message: /does not exist/v});
+});
+
+test('a lease that is not renewed expires', async t => {
+	const {store, standIn} = await openStore(t);
+	const leaseId = await store.grantLease(1000);
+	await store.compareAndSwap('/leased', 0, 'x', leaseId);
+	while (standIn.state.get('/leased')) {
+		await sleep(pollMs);
+	}
+
+	t.false(await store.renewLease(leaseId));
+});
+
+test('a watch tells of present keys, changes and deletions', async t => {
+	const {store} = await openStore(t);
+	await store.compareAndSwap('/w/a', 0, 'one');
+	const recorder = new WatchRecorder();
+	store.watch('/w/', recorder.listener);
+	await recorder.waitFor('/w/a', 'one');
+	const {modRevision} = await store.compareAndSwap('/w/b', 0, 'two');
+	await recorder.waitFor('/w/b', 'two');
+	await store.compareAndDelete('/w/b', modRevision);
+	await recorder.waitFor('/w/b', undefined);
+	await store.compareAndSwap('/elsewhere', 0, 'x');
+	t.is(recorder.changes.length, 3);
+});
+
+test('a silent connection costs a read one probe and later calls nothing', async t => {
+	const {store, standIn} = await openStore(t);
+	await store.compareAndSwap('/a', 0, 'one');
+	standIn.setFaults({silent: true});
+	const read = await store.get('/a');
+	t.is(read?.value, 'one');
+	t.true(store.reachable);
+});
+
+test('a write on a silent connection is given up and not repeated', async t => {
+	const {store, standIn} = await openStore(t);
+	await store.get('/a');
+	// The client takes the connection for free only some ticks after the answer.
+	await sleep(pollMs * 4);
+	standIn.setFaults({silent: true});
+	await t.throwsAsync(store.compareAndSwap('/a', 0, 'one'), {message: /did not answer/v});
+	t.false('/v3/kv/txn' in standIn.callCounts());
+	const second = await store.compareAndSwap('/a', 0, 'two');
+	t.true(second.swapped);
+});
+
+test('a lost answer is told as such and can be read back', async t => {
+	const {store} = await openStore(t, {loseAnswers: 1, seed: 1});
+	await t.throwsAsync(store.compareAndSwap('/a', 0, 'one'), {message: /did not answer/v});
+	const read = await store.get('/a');
+	t.is(read?.value, 'one');
+});
+
+test('a silent watch is caught up by a reading and then replaced', async t => {
+	const {store, standIn} = await openStore(t);
+	const {modRevision} = await store.compareAndSwap('/w/a', 0, 'one');
+	const recorder = new WatchRecorder();
+	store.watch('/w/', recorder.listener, 100);
+	await recorder.waitFor('/w/a', 'one');
+	while (standIn.openWatches === 0) {
+		await sleep(pollMs);
+	}
+
+	standIn.setFaults({silentWatches: true});
+	const second = await store.compareAndSwap('/w/a', modRevision, 'two');
+	await recorder.waitFor('/w/a', 'two');
+	while (standIn.callCounts()['/v3/watch'] < 2) {
+		await sleep(pollMs);
+	}
+
+	await store.compareAndDelete('/w/a', second.modRevision);
+	await recorder.waitFor('/w/a', undefined);
+	t.pass();
+});
+
+test('a watch survives an outage and misses no latest state', async t => {
+	const {store, standIn} = await openStore(t);
+	await store.compareAndSwap('/w/a', 0, 'one');
+	const recorder = new WatchRecorder();
+	store.watch('/w/', recorder.listener, 100);
+	await recorder.waitFor('/w/a', 'one');
+	standIn.setFaults({outage: true});
+	await t.throwsAsync(store.get('/w/a'));
+	t.false(store.reachable);
+	standIn.state.delete('/w/a');
+	standIn.state.put('/w/b', 'two', undefined);
+	standIn.setFaults({outage: false});
+	await recorder.waitFor('/w/a', undefined);
+	await recorder.waitFor('/w/b', 'two');
+	t.pass();
+});
--- /dev/null
+++ b/standins/store/test/open-store.ts
@@ -0,0 +1,30 @@
+import {Kernel} from '../../../src/platform/kernel/kernel.js';
+import {FixedSettingsService} from '../../../src/platform/settings/fixed-settings-service.js';
+import {type NodeSettings} from '../../../src/platform/settings/node-settings.js';
+import {SettingsService} from '../../../src/platform/settings/settings-service.js';
+import {EtcdStoreService} from '../../../src/platform/store/etcd-store-service.js';
+import {StoreService} from '../../../src/platform/store/store-service.js';
+import {type StoreFaults} from '../store-faults.js';
+import {StoreStandIn} from '../store-stand-in.js';
+
+type Teardown = {
+	teardown(release: () => void): void;
+};
+
+/** Starts a stand-in and a client of it, both ended with the test. */
+export async function openStore(t: Teardown, faults: StoreFaults = {}): Promise<{standIn: StoreStandIn; store: StoreService}> {
+	const standIn = new StoreStandIn();
+	await standIn.listen();
+	standIn.setFaults(faults);
+	const settings = {
+		storeUrls: [standIn.url], probeAfterMs: 200, abandonAfterMs: 300, seed: 1,
+	} as unknown as NodeSettings;
+	const kernel = new Kernel()
+		.registerInstance(SettingsService, new FixedSettingsService(settings))
+		.register(StoreService, EtcdStoreService);
+	t.teardown(() => {
+		kernel.dispose();
+		standIn.dispose();
+	});
+	return {standIn, store: kernel.get(StoreService)};
+}
--- a/xo.config.js
+++ b/xo.config.js
@@ -48,6 +48,13 @@
 			'@typescript-eslint/naming-convention': 'off',
 		},
 	},
+	{
+		// The etcd gateway's messages have names of its own.
+		files: ['src/platform/store/etcd-*.ts', 'src/platform/store/to-store-entry.ts', 'standins/store/*.ts'],
+		rules: {
+			'@typescript-eslint/naming-convention': 'off',
+		},
+	},
 	...layers.map((layer, index) => layerRule(layer, index)),
 ];
 
