--- a/src/services/policy/policy-document.ts
+++ b/src/services/policy/policy-document.ts
@@ -1,7 +1,7 @@
 import {z} from 'zod';
 import {Importance} from './importance.js';
 
-const name = z.string().regex(/^[a-z\d][a-z\d-]{0,62}$/v);
+const name = z.string().regex(/^[a-z\d][a-z\d\-]{0,62}$/v);
 const durationMs = z.number().int().min(1).max(86_400_000);
 const sizeBytes = z.number().int().min(0).max(1_048_576);
 
