Run calls that are not idempotent through the owner of their id

Cause: two nodes that both take a re-sent charge would run it twice. Takeover when the store says the owner is gone. Excluded: a watch of every table at every node, as a waiting watch counts as a call; other nodes read a table when they need it.

--- /dev/null
+++ b/src/services/ownership/shard-directory.ts
@@ -0,0 +1,165 @@
+import {type Disposable} from '../../base/disposable.js';
+import {DisposableStore} from '../../base/disposable-store.js';
+import {Emitter} from '../../base/emitter.js';
+import {type Event} from '../../base/event.js';
+import {type PeerService} from '../../platform/peer/peer-service.js';
+import {type StoreService} from '../../platform/store/store-service.js';
+import {type StoreEntry} from '../../platform/store/store-entry.js';
+import {type MembershipService} from '../membership/membership-service.js';
+import {type Shard} from './shard.js';
+import {shardListDocument} from './shard-list-document.js';
+import {type ShardTable} from './shard-table.js';
+import {tableMethod} from './table-method.js';
+
+const keyPrefix = '/kumquatline/shards/';
+const peerTimeoutMs = 500;
+/** Peers that are asked at once when the store does not answer. */
+const askedPeers = 3;
+/** Readings begun within this time are shared. */
+const refreshIntervalMs = 200;
+
+type Refresh = {readonly begunAtMs: number; readonly result: Promise<ShardTable | undefined>};
+
+/**
+The shard tables that this node knows. The store holds them; the upstreams of a service watch theirs,
+other nodes read it when they need it, from the store or from the upstreams. The last table known stays in use.
+*/
+export class ShardDirectory implements Disposable {
+	private readonly changes = new Emitter<ShardTable>();
+	private readonly disposables = new DisposableStore();
+	private readonly tables = new Map<string, ShardTable>();
+	private readonly refreshes = new Map<string, Refresh>();
+	private readonly followed = new Set<string>();
+
+	constructor(
+		private readonly store: StoreService,
+		private readonly peers: PeerService,
+		private readonly membership: MembershipService,
+	) {}
+
+	get onDidChange(): Event<ShardTable> {
+		return this.changes.event;
+	}
+
+	get all(): readonly ShardTable[] {
+		return [...this.tables.values()];
+	}
+
+	/** Answers peers that ask for tables. */
+	listen(): void {
+		this.disposables.add(this.peers.handle(tableMethod, async ({service}) => ({table: this.tables.get(service)})));
+	}
+
+	/** Watches a service's table from now on. */
+	follow(service: string): void {
+		if (this.followed.has(service)) {
+			return;
+		}
+
+		this.followed.add(service);
+		const key = keyPrefix + service;
+		this.disposables.add(this.store.watch(key, change => {
+			if (change.key === key && change.entry) {
+				this.adoptEntry(service, change.entry);
+			}
+		}));
+	}
+
+	known(service: string): ShardTable | undefined {
+		return this.tables.get(service);
+	}
+
+	/** The last table known, or the first one that can be read. */
+	async find(service: string): Promise<ShardTable | undefined> {
+		return this.tables.get(service) ?? this.refresh(service);
+	}
+
+	/** Reads the table again, from the store or else from peers; returns the newest known. */
+	async refresh(service: string): Promise<ShardTable | undefined> {
+		const last = this.refreshes.get(service);
+		if (last && performance.now() - last.begunAtMs < refreshIntervalMs) {
+			return last.result;
+		}
+
+		const result = this.readAnywhere(service);
+		this.refreshes.set(service, {begunAtMs: performance.now(), result});
+		return result;
+	}
+
+	/** Reads the table from the store itself; throws `store-unavailable`. */
+	async read(service: string, signal?: AbortSignal): Promise<ShardTable | undefined> {
+		const entry = await this.store.get(keyPrefix + service, signal);
+		if (!entry) {
+			return undefined;
+		}
+
+		this.adoptEntry(service, entry);
+		return parseEntry(service, entry);
+	}
+
+	/**
+	Replaces the table of revision `modRevision` (0: none yet); returns undefined when another came first.
+	Throws `store-unavailable` when it may or may not have taken effect.
+	*/
+	async swap(service: string, modRevision: number, shards: readonly Shard[], signal?: AbortSignal): Promise<ShardTable | undefined> {
+		const result = await this.store.compareAndSwap(keyPrefix + service, modRevision, JSON.stringify(shards), undefined, signal);
+		if (!result.swapped) {
+			if (result.current) {
+				this.adoptEntry(service, result.current);
+			}
+
+			return undefined;
+		}
+
+		const table = {service, modRevision: result.modRevision, shards};
+		this.adopt(table);
+		return table;
+	}
+
+	dispose(): void {
+		this.changes.dispose();
+		this.disposables.dispose();
+	}
+
+	private async readAnywhere(service: string): Promise<ShardTable | undefined> {
+		try {
+			await this.read(service);
+		} catch {
+			await this.askPeers(service);
+		}
+
+		return this.tables.get(service);
+	}
+
+	private async askPeers(service: string): Promise<void> {
+		const upstreams = this.membership.upstreams(service)
+			.filter(member => member.nodeId !== this.membership.self.nodeId)
+			.slice(0, askedPeers);
+		const replies = await Promise.allSettled(upstreams.map(async member =>
+			this.peers.call(member, tableMethod, {service}, {timeoutMs: peerTimeoutMs})));
+		for (const reply of replies) {
+			if (reply.status === 'fulfilled' && reply.value.table) {
+				this.adopt(reply.value.table);
+			}
+		}
+	}
+
+	private adoptEntry(service: string, entry: StoreEntry): void {
+		this.adopt(parseEntry(service, entry));
+	}
+
+	private adopt(table: ShardTable): void {
+		const {service, modRevision} = table;
+		if (modRevision <= (this.tables.get(service)?.modRevision ?? 0)) {
+			return;
+		}
+
+		this.tables.set(service, table);
+		this.changes.fire(table);
+	}
+}
+
+function parseEntry(service: string, entry: StoreEntry): ShardTable {
+	const shards = shardListDocument.parse(JSON.parse(entry.value));
+	return {service, modRevision: entry.modRevision, shards};
+}
--- /dev/null
+++ b/src/services/ownership/shard-keeper.ts
@@ -0,0 +1,175 @@
+import {ErrorKind} from '../../base/error-kind.js';
+import {KumquatlineError} from '../../base/kumquatline-error.js';
+import {type LogService} from '../../platform/log/log-service.js';
+import {type SettingsService} from '../../platform/settings/settings-service.js';
+import {type LeaseService} from '../membership/lease-service.js';
+import {MemberState} from '../membership/member-state.js';
+import {type Member} from '../membership/member.js';
+import {type MembershipService} from '../membership/membership-service.js';
+import {type PolicyService} from '../policy/policy-service.js';
+import {findRun} from './find-run.js';
+import {reassignShards} from './reassign-shards.js';
+import {type ShardDirectory} from './shard-directory.js';
+import {type ShardHoldings} from './shard-holdings.js';
+import {type Shard} from './shard.js';
+import {type ShardTable} from './shard-table.js';
+
+const defaultShardCount = 32;
+/** Rounds between questions to the store about an owner that its peers still hear. */
+const heardOwnerRounds = 10;
+
+const heardStates: ReadonlySet<MemberState> = new Set([MemberState.Joined, MemberState.Serving, MemberState.Draining]);
+
+/**
+Keeps the shard table of the node's own service: makes the first one, confirms this node's right to its shards
+after each new lease, and gives the shards of owners that the store no longer knows to others.
+*/
+export class ShardKeeper {
+	private round = 0;
+	/** When the store was last found back, or this node started, on the monotonic clock. */
+	private storeBackAtMs = performance.now();
+
+	constructor(
+		private readonly directory: ShardDirectory,
+		private readonly holdings: ShardHoldings,
+		private readonly settings: SettingsService,
+		private readonly policy: PolicyService,
+		private readonly lease: LeaseService,
+		private readonly membership: MembershipService,
+		private readonly log: LogService,
+	) {}
+
+	/** To be called when the store is found back. */
+	noteStoreBack(): void {
+		this.storeBackAtMs = performance.now();
+	}
+
+	/** One round; failures to reach the store are left to the next. */
+	async keep(signal: AbortSignal): Promise<void> {
+		const {service} = this.membership.self;
+		if (service === undefined || !this.lease.isHeld()) {
+			return;
+		}
+
+		try {
+			this.directory.follow(service);
+			await this.confirm(service, signal);
+			await this.createOrTakeOver(service, signal);
+		} catch (error) {
+			if (!(error instanceof KumquatlineError)) {
+				throw error;
+			}
+
+			this.log.debug('shard table not kept this time', {service, kind: error.kind});
+		}
+	}
+
+	/**
+	Confirms the right to shards under a new lease. A node that meant to take them over while there was no lease
+	swaps against the table that it read before, so the swap here, made once the registration stands again, stops it.
+	*/
+	private async confirm(service: string, signal: AbortSignal): Promise<void> {
+		const {leaseId} = this.lease;
+		if (leaseId === undefined || !this.holdings.needsConfirmation(service)) {
+			return;
+		}
+
+		const {self} = this.membership;
+		if (await this.membership.isGone(self.nodeId, self.incarnation, signal)) {
+			throw new KumquatlineError(ErrorKind.StoreUnavailable, 'this node is not registered yet');
+		}
+
+		const table = await this.directory.read(service, signal);
+		const isNamed = table?.shards.some(shard => this.holdings.isMine(shard)) ?? false;
+		if (table && isNamed && !await this.directory.swap(service, table.modRevision, table.shards, signal)) {
+			return;
+		}
+
+		this.holdings.confirm(service, leaseId);
+	}
+
+	private async createOrTakeOver(service: string, signal: AbortSignal): Promise<void> {
+		if (this.membership.self.state !== MemberState.Serving || this.holdings.needsConfirmation(service)) {
+			return;
+		}
+
+		const table = this.directory.known(service) ?? await this.directory.read(service, signal);
+		await (table ? this.takeOver(table, signal) : this.create(service, signal));
+	}
+
+	private async create(service: string, signal: AbortSignal): Promise<void> {
+		const shardCount = this.policy.current.services.find(({name}) => name === service)?.shardCount ?? defaultShardCount;
+		const owners = reassignShards(Array.from({length: shardCount}), this.upstreams(service));
+		const shards = owners.map(owner => newShard(owner, 1, 0));
+		const table = await this.directory.swap(service, 0, shards, signal);
+		if (table) {
+			this.log.info('shard table created', {service, shardCount});
+		}
+	}
+
+	/** Gives the shards of owners that are gone to others, with one swap against a table read before the store was asked. */
+	private async takeOver(known: ShardTable, signal: AbortSignal): Promise<void> {
+		this.round++;
+		if (performance.now() - this.storeBackAtMs < this.settings.settings.leaseTtlMs) {
+			return;
+		}
+
+		const doubtful = this.doubtfulOwners(known);
+		if (doubtful.length === 0) {
+			return;
+		}
+
+		const table = await this.directory.read(known.service, signal);
+		const gone = table ? await this.goneOwners(doubtful, signal) : new Set<string>();
+		if (!table || gone.size === 0) {
+			return;
+		}
+
+		const kept = table.shards.map(shard => gone.has(shard.incarnation) ? undefined : shard);
+		const owners = [...reassignShards(kept, this.upstreams(table.service))];
+		const takenOverAtMs = Date.now();
+		const shards = table.shards.map((shard, index) => kept[index] ?? newShard(owners.shift()!, shard.epoch + 1, takenOverAtMs));
+		if (await this.directory.swap(table.service, table.modRevision, shards, signal)) {
+			this.log.info('shards taken over', {service: table.service, from: [...gone]});
+		}
+	}
+
+	/** Owners that nobody hears, and now and then one that is heard: it may have lost only its lease. */
+	private doubtfulOwners(table: ShardTable): readonly Shard[] {
+		const owners = [...new Map(table.shards.map(shard => [shard.incarnation, shard])).values()]
+			.filter(shard => !this.holdings.isMine(shard));
+		const heard = owners.filter(owner => this.isHeard(owner));
+		const turn = this.round / heardOwnerRounds;
+		const inTurn = heard.length > 0 && Number.isInteger(turn) ? [heard[turn % heard.length]] : [];
+		return [...owners.filter(owner => !this.isHeard(owner)), ...inTurn];
+	}
+
+	private isHeard(owner: Shard): boolean {
+		const member = findRun(this.membership, owner);
+		return member !== undefined && heardStates.has(member.state);
+	}
+
+	private async goneOwners(owners: readonly Shard[], signal: AbortSignal): Promise<ReadonlySet<string>> {
+		const gone = new Set<string>();
+		for (const {nodeId, incarnation} of owners) {
+			if (await this.membership.isGone(nodeId, incarnation, signal)) {
+				gone.add(incarnation);
+			}
+		}
+
+		return gone;
+	}
+
+	private upstreams(service: string): readonly Member[] {
+		const {self} = this.membership;
+		const others = this.membership.upstreams(service).filter(member => member.nodeId !== self.nodeId);
+		return [...others, self];
+	}
+}
+
+function newShard(owner: Member, epoch: number, takenOverAtMs: number): Shard {
+	const {nodeId, incarnation} = owner;
+	return {
+		nodeId, incarnation, epoch, takenOverAtMs,
+	};
+}
--- /dev/null
+++ b/src/services/ownership/shard-list-document.ts
@@ -0,0 +1,12 @@
+import {z} from 'zod';
+
+const shard = z.object({
+	nodeId: z.string(),
+	incarnation: z.string(),
+	epoch: z.number().int().min(1),
+	takenOverAtMs: z.number().int().min(0),
+	handOverId: z.string().optional(),
+});
+
+/** The store's value of a service: its shards in order. */
+export const shardListDocument = z.array(shard).min(1);
