Add the callers' and the backend server's HTTP interfaces

Callers: id, caller class, deadline and body are checked before anything runs; answers leave whole; errors are problem details with what is known of the id and of this attempt. The status document is assembled by a service of its own. Not yet shown here: bad input and cancellation have no tests yet.

--- a/src/services/backend/backend-service.ts
+++ b/src/services/backend/backend-service.ts
@@ -1,3 +1,5 @@
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type Event} from '../../base/event.js';
 import {createServiceId} from '../../platform/kernel/create-service-id.js';
 import {type CallAnswer} from '../calls/call-answer.js';
 import {type CallRequest} from '../calls/call-request.js';
@@ -7,9 +9,15 @@
 /** The VM's own backend server: its announcements and sub-calls on loopback, and calls to it. */
 export interface BackendService {
 	readonly announcement: BackendAnnouncement | undefined;
+	/** Fired when what the backend server announces changes; undefined when it has stopped or gone silent. */
+	readonly onDidAnnounce: Event<BackendAnnouncement | undefined>;
 	/** Port on which the backend server announces itself and makes sub-calls. */
 	readonly port: number;
 	listen(): Promise<void>;
+	/** Sets who carries sub-calls. */
+	setCallHandler(handler: (request: CallRequest, signal: AbortSignal) => Promise<CallAnswer>): void;
+	/** Sets who answers requests of the backend server that belong to no running call. */
+	setRequestHandler(handler: (request: IncomingMessage, response: ServerResponse) => Promise<void>): void;
 	/**
 	Runs a call on the backend server.
 	Errors: `backend-unreachable` (not started), `backend-shed` (`started: false` only where the backend server said so), `backend-failed`, `answer-too-large`, `deadline-exceeded`, `caller-gone`.
--- /dev/null
+++ b/src/services/backend/to-sub-call.ts
@@ -0,0 +1,28 @@
+import {type IncomingMessage} from 'node:http';
+import {encodeBody} from '../callers/encode-body.js';
+import {endToEndHeaders} from '../callers/end-to-end-headers.js';
+import {type CallRequest} from '../calls/call-request.js';
+import {type Operation} from '../policy/operation.js';
+import {type RunningCall} from './running-call.js';
+
+/** The call of a backend server's request on behalf of a running call: same root, one deeper, never later. */
+export function toSubCall(parent: RunningCall, operation: Operation, message: IncomingMessage, body: Uint8Array): CallRequest {
+	const {context} = parent.request;
+	const method = message.method!;
+	const target = message.url!;
+	return {
+		context: {
+			...context,
+			depth: context.depth + 1,
+			deadlineAtMs: Math.min(context.deadlineAtMs, Date.now() + operation.timeoutMs),
+		},
+		requestId: parent.nextSubCallId(method, target, body),
+		service: operation.service,
+		operation: operation.name,
+		idempotent: operation.idempotent,
+		method,
+		target,
+		headers: endToEndHeaders(message.headers),
+		bodyBase64: encodeBody(body),
+	};
+}
--- /dev/null
+++ b/src/services/callers/end-to-end-headers.ts
@@ -0,0 +1,39 @@
+/** Headers that concern one connection only (RFC 9110, 7.6.1), or that each hop sets itself. */
+const hopHeaders = new Set([
+	'connection',
+	'keep-alive',
+	'proxy-authenticate',
+	'proxy-authorization',
+	'proxy-connection',
+	'te',
+	'trailer',
+	'transfer-encoding',
+	'upgrade',
+	'host',
+	'content-length',
+	'expect',
+]);
+const ownPrefix = 'kumquatline-';
+
+/** Headers to pass on, in lower case; several `set-cookie` are parted by line feeds, which no header can hold. */
+export function endToEndHeaders(headers: Readonly<Record<string, string | readonly string[] | undefined>>): Record<string, string> {
+	const named = connectionHeaders(headers.connection);
+	const kept: Record<string, string> = {};
+	for (const [name, value] of Object.entries(headers)) {
+		if (value === undefined || hopHeaders.has(name) || name.startsWith(ownPrefix) || named?.has(name)) {
+			continue;
+		}
+
+		kept[name] = typeof value === 'string' ? value : value.join(name === 'set-cookie' ? '\n' : ', ');
+	}
+
+	return kept;
+}
+
+function connectionHeaders(value: string | readonly string[] | undefined): ReadonlySet<string> | undefined {
+	if (value === undefined || value === 'keep-alive' || value === 'close') {
+		return undefined;
+	}
+
+	return new Set(String(value).split(',').map(name => name.trim().toLowerCase()));
+}
--- /dev/null
+++ b/src/services/callers/http-caller-service.ts
@@ -0,0 +1,197 @@
+import {once} from 'node:events';
+import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import {type AddressInfo} from 'node:net';
+import createRouter from 'find-my-way';
+import {z} from 'zod';
+import {type Disposable} from '../../base/disposable.js';
+import {ErrorKind} from '../../base/error-kind.js';
+import {KumquatlineError} from '../../base/kumquatline-error.js';
+import {toWireError} from '../../base/to-wire-error.js';
+import {LogService} from '../../platform/log/log-service.js';
+import {MetricsService} from '../../platform/metrics/metrics-service.js';
+import {SettingsService} from '../../platform/settings/settings-service.js';
+import {BackendService} from '../backend/backend-service.js';
+import {CallService} from '../calls/call-service.js';
+import {type CallRequest} from '../calls/call-request.js';
+import {OwnershipService} from '../ownership/ownership-service.js';
+import {PolicyService} from '../policy/policy-service.js';
+import {RetryService} from '../retries/retry-service.js';
+import {RoutingService} from '../routing/routing-service.js';
+import {CallerHeader} from './caller-header.js';
+import {type CallerService} from './caller-service.js';
+import {readBody} from './read-body.js';
+import {RequestBuilder, type RequestId} from './request-builder.js';
+import {StatusService} from './status-service.js';
+import {writeAnswer} from './write-answer.js';
+import {writeJson} from './write-json.js';
+import {writeProblem} from './write-problem.js';
+
+const idsRequest = z.strictObject({count: z.number().int().min(1).max(1000)});
+const maxControlBodyBytes = 1024;
+const unknownOperation = 'unknown';
+
+/** Callers' and operators' HTTP/1.1; sends nothing of an answer before it is whole. */
+export class HttpCallerService implements CallerService, Disposable {
+	private readonly router = createRouter({
+		defaultRoute: (request, response) => {
+			void this.serve(request, response);
+		},
+	});
+
+	private readonly server = createServer((request, response) => {
+		this.router.lookup(request, response);
+	});
+
+	private readonly requests: RequestBuilder;
+	private draining = false;
+
+	constructor(
+		@SettingsService private readonly settingsService: SettingsService,
+		@LogService private readonly log: LogService,
+		@MetricsService private readonly metrics: MetricsService,
+		@PolicyService private readonly policyService: PolicyService,
+		@RoutingService private readonly routing: RoutingService,
+		@RetryService private readonly retries: RetryService,
+		@OwnershipService private readonly ownership: OwnershipService,
+		@CallService private readonly calls: CallService,
+		@StatusService private readonly status: StatusService,
+		@BackendService backend: BackendService,
+	) {
+		this.requests = new RequestBuilder(settingsService);
+		backend.setRequestHandler(async (request, response) => this.serve(request, response));
+		this.router.on('GET', '/kumquatline/status', (_request, response) => {
+			writeJson(response, this.status.report());
+		});
+		this.router.on('POST', '/kumquatline/ids', (request, response) => {
+			void this.reserve(request, response);
+		});
+	}
+
+	get port(): number {
+		return (this.server.address() as AddressInfo | undefined)?.port ?? this.settingsService.settings.callerPort;
+	}
+
+	async listen(): Promise<void> {
+		const {callerPort, address} = this.settingsService.settings;
+		this.server.listen(callerPort, address);
+		await once(this.server, 'listening');
+	}
+
+	async close(): Promise<void> {
+		this.draining = true;
+		const closed = once(this.server, 'close');
+		this.server.close();
+		this.server.closeIdleConnections();
+		await closed;
+	}
+
+	dispose(): void {
+		this.server.close();
+		this.server.closeAllConnections();
+	}
+
+	/** Answers one request of a caller. */
+	private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const enteredAtMs = Date.now();
+		let id: RequestId | undefined;
+		let call: CallRequest | undefined;
+		try {
+			id = this.requests.readId(request);
+			response.setHeader(CallerHeader.RequestId, id.requestId);
+			call = await this.read(request, id, enteredAtMs);
+			const answer = await this.run(call, id, response);
+			writeAnswer(response, answer);
+			this.note(call, enteredAtMs, 'answered');
+		} catch (error) {
+			this.fail(response, error, id);
+			this.note(call, enteredAtMs, toWireError(error).kind);
+		}
+	}
+
+	private async read(request: IncomingMessage, id: RequestId, enteredAtMs: number): Promise<CallRequest> {
+		if (this.draining) {
+			throw new KumquatlineError(ErrorKind.Draining, 'the node is leaving', {started: false});
+		}
+
+		const operation = this.routing.match(request.method!, request.url!);
+		if (!operation) {
+			throw new KumquatlineError(ErrorKind.RouteUnknown, 'no operation has this method and path', {started: false});
+		}
+
+		const call = await this.requests.build(request, id, operation, this.policyService.current, enteredAtMs);
+		if (Date.now() >= call.context.deadlineAtMs) {
+			throw new KumquatlineError(ErrorKind.DeadlineExceeded, 'the deadline passed while the request was read', {started: false});
+		}
+
+		this.routing.refuseEarly(operation, call.context);
+		return call;
+	}
+
+	private async run(call: CallRequest, id: RequestId, response: ServerResponse) {
+		const controller = new AbortController();
+		const leave = () => {
+			controller.abort();
+		};
+
+		response.once('close', leave);
+		try {
+			await this.admit(call, id, controller.signal);
+			return await this.calls.call(call, controller.signal);
+		} finally {
+			response.off('close', leave);
+		}
+	}
+
+	/** An idempotent request that carries its own id may be a caller's retry and draws on the retry total. */
+	private async admit(call: CallRequest, id: RequestId, signal: AbortSignal): Promise<void> {
+		if (id.minted || !call.idempotent) {
+			return;
+		}
+
+		if (!await this.retries.admitAttempt(call.context, signal)) {
+			throw new KumquatlineError(ErrorKind.RetryDenied, 'the retry total of the request is spent', {started: false});
+		}
+	}
+
+	private async reserve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		try {
+			const body = await readBody(request, maxControlBodyBytes);
+			const {count} = parseIds(new TextDecoder().decode(body));
+			writeJson(response, {ids: this.ownership.reserve(count)});
+		} catch (error) {
+			this.fail(response, error);
+		}
+	}
+
+	private fail(response: ServerResponse, error: unknown, id?: RequestId): void {
+		const {kind, message} = toWireError(error);
+		if (kind === ErrorKind.Internal) {
+			this.log.error('request failed', {reason: message});
+		}
+
+		if (response.destroyed || response.headersSent) {
+			response.destroy();
+			return;
+		}
+
+		if (this.draining || !response.req.complete) {
+			response.setHeader('connection', 'close');
+		}
+
+		writeProblem(response, error, id);
+	}
+
+	private note(call: CallRequest | undefined, enteredAtMs: number, outcome: string): void {
+		const tags = {caller: call?.context.caller ?? unknownOperation, operation: call?.operation ?? unknownOperation};
+		this.metrics.count('requests', {...tags, outcome});
+		this.metrics.record('request_latency', Date.now() - enteredAtMs, tags);
+	}
+}
+
+function parseIds(text: string): z.infer<typeof idsRequest> {
+	try {
+		return idsRequest.parse(JSON.parse(text));
+	} catch (error) {
+		throw new KumquatlineError(ErrorKind.BadRequest, 'the body must be {"count": 1 to 1000}', {started: false, cause: error});
+	}
+}
--- /dev/null
+++ b/src/services/callers/read-body.ts
@@ -0,0 +1,45 @@
+import {Buffer} from 'node:buffer';
+import {type IncomingMessage} from 'node:http';
+import {ErrorKind} from '../../base/error-kind.js';
+import {KumquatlineError} from '../../base/kumquatline-error.js';
+
+/** Reads a request's body whole; throws `body-too-large`, or `caller-gone` when the rest never comes. */
+export async function readBody(message: IncomingMessage, maxBodyBytes: number): Promise<Uint8Array> {
+	if (message.headers['content-length'] === undefined && message.headers['transfer-encoding'] === undefined) {
+		message.resume();
+		return new Uint8Array();
+	}
+
+	if (Number(message.headers['content-length'] ?? 0) > maxBodyBytes) {
+		throw tooLarge(maxBodyBytes);
+	}
+
+	return collect(message, maxBodyBytes);
+}
+
+async function collect(message: IncomingMessage, maxBodyBytes: number): Promise<Uint8Array> {
+	const chunks: Uint8Array[] = [];
+	let sizeBytes = 0;
+	try {
+		for await (const chunk of message as AsyncIterable<Uint8Array>) {
+			sizeBytes += chunk.length;
+			if (sizeBytes > maxBodyBytes) {
+				break;
+			}
+
+			chunks.push(chunk);
+		}
+	} catch (error) {
+		throw new KumquatlineError(ErrorKind.CallerGone, 'the request ended before its body was whole', {started: false, cause: error});
+	}
+
+	if (sizeBytes > maxBodyBytes) {
+		throw tooLarge(maxBodyBytes);
+	}
+
+	return chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
+}
+
+function tooLarge(maxBodyBytes: number): KumquatlineError {
+	return new KumquatlineError(ErrorKind.BodyTooLarge, `the body is larger than ${maxBodyBytes} bytes`, {started: false});
+}
--- /dev/null
+++ b/src/services/callers/test/edge-fixture.ts
@@ -0,0 +1,106 @@
+import {once} from 'node:events';
+import {createServer, type RequestListener} from 'node:http';
+import {type AddressInfo} from 'node:net';
+import {Emitter} from '../../../base/emitter.js';
+import {Kernel} from '../../../platform/kernel/kernel.js';
+import {LogService} from '../../../platform/log/log-service.js';
+import {MetricsService} from '../../../platform/metrics/metrics-service.js';
+import {StatsdMetricsService} from '../../../platform/metrics/statsd-metrics-service.js';
+import {testSettings} from '../../../platform/peer/test/peer-fixture.js';
+import {FixedSettingsService} from '../../../platform/settings/fixed-settings-service.js';
+import {SettingsService} from '../../../platform/settings/settings-service.js';
+import {BackendService} from '../../backend/backend-service.js';
+import {LoopbackBackendService} from '../../backend/loopback-backend-service.js';
+import {CallService} from '../../calls/call-service.js';
+import {type CallRequest} from '../../calls/call-request.js';
+import {type Member} from '../../membership/member.js';
+import {MembershipService} from '../../membership/membership-service.js';
+import {OwnershipService} from '../../ownership/ownership-service.js';
+import {policyDocument} from '../../policy/policy-document.js';
+import {PolicyService} from '../../policy/policy-service.js';
+import {RetryService} from '../../retries/retry-service.js';
+import {PolicyRoutingService} from '../../routing/policy-routing-service.js';
+import {RoutingService} from '../../routing/routing-service.js';
+import {CallerService} from '../caller-service.js';
+import {HttpCallerService} from '../http-caller-service.js';
+import {StatusService} from '../status-service.js';
+
+const quiet = () => undefined;
+const slots = 4;
+
+export const testPolicy = policyDocument.parse({
+	version: 1,
+	services: [{name: 'hire-desk'}],
+	operations: [
+		{
+			name: 'read-stock', method: 'GET', path: '/stock/:panel', service: 'hire-desk', importance: 'sheddable', idempotent: true, timeoutMs: 2000,
+		},
+		{
+			name: 'book', method: 'POST', path: '/bookings', service: 'hire-desk', importance: 'critical', idempotent: false, timeoutMs: 5000,
+		},
+	],
+	callers: [{name: 'foreman', patienceMs: 3000, retryTotal: 2}, {name: 'truck', patienceMs: 1000, retryTotal: 0}],
+	maxBodyBytes: 1000,
+	maxAnswerBytes: 2000,
+});
+
+/** Runs each call on the node's own backend server, and keeps what it was given. */
+class LocalCallService implements CallService {
+	readonly requests: CallRequest[] = [];
+
+	constructor(@BackendService private readonly backend: BackendService) {
+		backend.setCallHandler(async (request, signal) => this.call(request, signal));
+	}
+
+	async call(request: CallRequest, signal: AbortSignal) {
+		this.requests.push(request);
+		return this.backend.invoke(request, {subCallBegan: quiet, subCallEnded: quiet}, signal);
+	}
+}
+
+/** The callers' and the backend server's side of one node, with a backend server behind it. */
+export async function startEdge(listener: RequestListener) {
+	const kernel = new Kernel()
+		.registerInstance(SettingsService, new FixedSettingsService(testSettings('edge'), 'incarnation'))
+		.registerInstance(LogService, {
+			debug: quiet, info: quiet, warn: quiet, error: quiet,
+		})
+		.register(MetricsService, StatsdMetricsService)
+		.registerInstance(PolicyService, {current: testPolicy, version: 1, onDidChange: new Emitter().event} as unknown as PolicyService)
+		.registerInstance(MembershipService, {members: [] as Member[], onDidChange: new Emitter().event} as unknown as MembershipService)
+		.register(RoutingService, PolicyRoutingService)
+		.registerInstance(RetryService, {noteFresh: quiet, grant: async () => true, admitAttempt: async () => true})
+		.registerInstance(OwnershipService, {reserve: (count: number) => Array.from({length: count}, (_, index) => `id-${index}`)} as unknown as OwnershipService)
+		.registerInstance(StatusService, {report: () => ({policyVersion: 1})})
+		.register(BackendService, LoopbackBackendService)
+		.register(CallService, LocalCallService)
+		.register(CallerService, HttpCallerService);
+	const callers = kernel.get(CallerService);
+	const backend = kernel.get(BackendService);
+	await callers.listen();
+	await backend.listen();
+	const server = createServer(listener);
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const {port} = server.address() as AddressInfo;
+	const backendUrl = `http://127.0.0.1:${backend.port}`;
+	await fetch(`${backendUrl}/announce`, {
+		method: 'POST', body: JSON.stringify({
+			service: 'hire-desk', port, slots, connections: slots, state: 'serving',
+		}),
+	});
+	return {
+		kernel,
+		backend,
+		backendUrl,
+		callers,
+		metrics: kernel.get(MetricsService),
+		requests: (kernel.get(CallService) as LocalCallService).requests,
+		callerUrl: `http://127.0.0.1:${callers.port}`,
+		stop() {
+			kernel.dispose();
+			server.close();
+			server.closeAllConnections();
+		},
+	};
+}
--- /dev/null
+++ b/src/services/callers/test/http-caller-service.test.ts
@@ -0,0 +1,68 @@
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import test from 'ava';
+import {startEdge} from './edge-fixture.js';
+
+const echo = (request: IncomingMessage, response: ServerResponse) => {
+	response.setHeader('connection', 'keep-alive');
+	response.end(JSON.stringify({method: request.method, url: request.url, requestId: request.headers['kumquatline-request-id']}));
+};
+
+test('a read goes to the backend server and its whole answer comes back', async t => {
+	const edge = await startEdge(echo);
+	const response = await fetch(`${edge.callerUrl}/stock/7?size=2`);
+	const requestId = response.headers.get('kumquatline-request-id');
+	t.is(response.status, 200);
+	t.deepEqual(await response.json(), {method: 'GET', url: '/stock/7?size=2', requestId});
+	t.like(edge.requests[0], {operation: 'read-stock', context: {caller: 'foreman', depth: 1, rootOwner: {nodeId: 'edge', incarnation: 'incarnation'}}});
+	edge.stop();
+});
+
+test('a booking carries the key as its id and the shorter of the time limits', async t => {
+	const edge = await startEdge(echo);
+	const headers = {'idempotency-key': 'key-1', 'kumquatline-caller': 'truck', 'kumquatline-timeout-ms': '400'};
+	const response = await fetch(`${edge.callerUrl}/bookings`, {method: 'POST', body: '{"panel":7}', headers});
+	t.is(response.status, 200);
+	const [{context, requestId, headers: passed}] = edge.requests;
+	t.like({requestId, ...context}, {
+		requestId: 'key-1', rootId: 'key-1', rootService: 'hire-desk', caller: 'truck', importance: 'critical',
+	});
+	t.is(context.deadlineAtMs - context.enteredAtMs, 400);
+	t.false('kumquatline-caller' in passed);
+	edge.stop();
+});
+
+test('a sub-call keeps the root, goes one deeper and gets a derived id', async t => {
+	const edge = await startEdge((request, response) => {
+		if (request.method === 'POST') {
+			void bookAndRead(request, response);
+			return;
+		}
+
+		echo(request, response);
+	});
+
+	async function bookAndRead(request: IncomingMessage, response: ServerResponse) {
+		const headers = {'kumquatline-context': String(request.headers['kumquatline-context'])};
+		const inner = await fetch(`${edge.backendUrl}/stock/1`, {headers});
+		response.end(await inner.text());
+	}
+
+	const response = await fetch(`${edge.callerUrl}/bookings`, {method: 'POST', headers: {'idempotency-key': 'key-2'}});
+	t.like(await response.json(), {method: 'GET', url: '/stock/1'});
+	const [parent, child] = edge.requests;
+	t.like(child.context, {
+		rootId: 'key-2', rootService: 'hire-desk', depth: 2, importance: 'critical',
+	});
+	t.not(child.requestId, 'key-2');
+	t.true(child.context.deadlineAtMs <= parent.context.deadlineAtMs);
+	edge.stop();
+});
+
+test('a closing service answers what runs and refuses what is new', async t => {
+	const edge = await startEdge(echo);
+	const {port} = edge.callers;
+	await fetch(`${edge.callerUrl}/stock/7`);
+	await edge.callers.close();
+	await t.throwsAsync(fetch(`http://127.0.0.1:${port}/stock/7`));
+	edge.stop();
+});
--- /dev/null
+++ b/src/services/callers/write-answer.ts
@@ -0,0 +1,15 @@
+import {Buffer} from 'node:buffer';
+import {type ServerResponse} from 'node:http';
+import {type CallAnswer} from '../calls/call-answer.js';
+
+/** Sends a whole answer in one piece. */
+export function writeAnswer(response: ServerResponse, answer: CallAnswer): void {
+	const body = Buffer.from(answer.bodyBase64, 'base64');
+	const headers: Record<string, string | string[]> = {...answer.headers, 'content-length': String(body.length)};
+	if (typeof headers['set-cookie'] === 'string') {
+		headers['set-cookie'] = headers['set-cookie'].split('\n');
+	}
+
+	response.writeHead(answer.status, headers);
+	response.end(body);
+}
