Add the backend server stand-in

Slots, cold start, drain, shed, cancellation, deadlines, misleading health, cut answers; each execution is recorded with its own time and effect.

--- /dev/null
+++ b/standins/backend-server/backend-server-stand-in.ts
@@ -0,0 +1,290 @@
+import {createHash} from 'node:crypto';
+import {once} from 'node:events';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {type AddressInfo} from 'node:net';
+import {buffer} from 'node:stream/consumers';
+import {setTimeout as delay} from 'node:timers/promises';
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {Agent, request as sendRequest} from 'undici';
+import {type z} from 'zod';
+import {backendServerFaults} from './backend-server-faults.js';
+import {type BackendServerOptions} from './backend-server-options.js';
+import {type ExecutionRecord} from './execution-record.js';
+import {SlotQueue} from './slot-queue.js';
+
+type Faults = z.infer<typeof backendServerFaults>;
+type State = 'serving' | 'draining' | 'stopped';
+
+const announceIntervalMs = 2000;
+const announceTimeoutMs = 1000;
+/** Own times are this much longer during the cold start. */
+const coldFactor = 4;
+/** Requests that wait for a slot before more are shed. */
+const queueCapacity = 256;
+/** Own times spread evenly around the mean by this share of it. */
+const serviceTimeSpread = 0.5;
+
+/** Backend server for tests: slots, cold start, drain, shed, cancellation, deadlines and misleading health. */
+export class BackendServerStandIn {
+	readonly history: ExecutionRecord[] = [];
+	private readonly server: Server;
+	private readonly agent = new Agent({connections: 64});
+	private readonly slots: SlotQueue;
+	private readonly random;
+	private readonly stopping = new AbortController();
+	private faults: Faults = backendServerFaults.parse({});
+	private state: State = 'serving';
+	private startedAtMs = 0;
+	private announceTimer: NodeJS.Timeout | undefined;
+
+	constructor(private readonly options: BackendServerOptions) {
+		this.random = xoroshiro128plus(options.seed);
+		this.slots = new SlotQueue(options.slots, queueCapacity);
+		this.server = createServer((request, response) => {
+			void this.handle(request, response);
+		});
+	}
+
+	get port(): number {
+		return (this.server.address() as AddressInfo).port;
+	}
+
+	/** Opens the port and announces the backend server for the first time. */
+	async start(): Promise<void> {
+		this.server.listen(0, '127.0.0.1');
+		await once(this.server, 'listening');
+		this.startedAtMs = Date.now();
+		await this.announce();
+		this.announceTimer = setInterval(() => {
+			void this.announce();
+		}, announceIntervalMs);
+	}
+
+	setFaults(faults: z.input<typeof backendServerFaults>): void {
+		this.faults = backendServerFaults.parse(faults);
+	}
+
+	/** Announces that no new work is wanted. */
+	async drain(): Promise<void> {
+		this.state = 'draining';
+		await this.announce();
+	}
+
+	async stop(): Promise<void> {
+		this.state = 'stopped';
+		clearInterval(this.announceTimer);
+		await this.announce();
+		this.stopping.abort();
+		this.server.close();
+		this.server.closeAllConnections();
+		await this.agent.destroy();
+	}
+
+	private async announce(): Promise<void> {
+		const {nodeBackendUrl, service, announcedSlots, connections} = this.options;
+		if (!nodeBackendUrl) {
+			return;
+		}
+
+		try {
+			const {body} = await sendRequest(`${nodeBackendUrl}/announce`, {
+				method: 'POST',
+				headers: {'content-type': 'application/json'},
+				body: JSON.stringify({
+					service, port: this.port, slots: announcedSlots, connections, state: this.state,
+				}),
+				dispatcher: this.agent,
+				signal: AbortSignal.timeout(announceTimeoutMs),
+			});
+			await body.dump();
+		} catch {
+			// The node may not be there yet; the next announcement follows.
+		}
+	}
+
+	private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		let body;
+		try {
+			body = await buffer(request);
+		} catch {
+			return;
+		}
+
+		const {url = '/'} = request;
+		if (url.startsWith('/stand-in/')) {
+			await this.control(url, body, response);
+			return;
+		}
+
+		if (url === '/health') {
+			const healthy = (this.state === 'serving') !== this.faults.healthLies;
+			answer(response, healthy ? 200 : 503, {healthy});
+			return;
+		}
+
+		await this.serve(request, body, response);
+	}
+
+	private async control(url: string, body: Uint8Array, response: ServerResponse): Promise<void> {
+		switch (url) {
+			case '/stand-in/history': {
+				answer(response, 200, this.history);
+				break;
+			}
+
+			case '/stand-in/faults': {
+				this.setFaults(JSON.parse(new TextDecoder().decode(body)) as z.input<typeof backendServerFaults>);
+				answer(response, 200, this.faults);
+				break;
+			}
+
+			case '/stand-in/drain': {
+				await this.drain();
+				answer(response, 200, {state: this.state});
+				break;
+			}
+
+			default: {
+				answer(response, 404, {});
+			}
+		}
+	}
+
+	private async serve(request: IncomingMessage, body: Uint8Array, response: ServerResponse): Promise<void> {
+		const shed = this.draw(this.faults.shedShare);
+		if (this.slots.isFull || (shed && !this.faults.shedAfterBegin)) {
+			response.setHeader('kumquatline-started', 'no');
+			answer(response, 503, {shed: true});
+			return;
+		}
+
+		const signal = AbortSignal.any([cancellation(response), deadline(request), this.stopping.signal]);
+		if (!await this.slots.take(signal)) {
+			return;
+		}
+
+		const record: ExecutionRecord = {
+			requestId: header(request, 'kumquatline-request-id') ?? '',
+			method: request.method ?? '',
+			target: request.url ?? '',
+			startedAtMs: Date.now(),
+			ownTimeMs: 0,
+		};
+		this.history.push(record);
+		try {
+			await this.execute(record, shed, {request, body, response}, signal);
+		} catch {
+			// Cancelled: the record keeps how far the work got.
+		} finally {
+			this.slots.free();
+			record.endedAtMs = Date.now();
+			if (!response.writableEnded) {
+				response.destroy();
+			}
+		}
+	}
+
+	private async execute(
+		record: ExecutionRecord,
+		shed: boolean,
+		{request, body, response}: {request: IncomingMessage; body: Uint8Array; response: ServerResponse},
+		signal: AbortSignal,
+	): Promise<void> {
+		await this.work(record, signal);
+		record.effectAtMs = Date.now();
+		const subCalls = await Promise.all(this.options.calls.map(async call => this.subCall(call, request, signal)));
+		await delay(this.faults.delayMs, undefined, {signal});
+
+		record.status = this.chooseStatus(shed, subCalls.map(({status}) => status));
+		const {service, availabilityZone} = this.options;
+		const content = JSON.stringify({
+			service,
+			availabilityZone,
+			requestId: record.requestId,
+			target: record.target,
+			bodyDigest: createHash('sha256').update(body).digest('hex'),
+			subCalls: subCalls.map(({answer}) => answer),
+		});
+		if (this.draw(this.faults.partialAnswer)) {
+			response.writeHead(record.status, {'content-length': content.length});
+			response.write(content.slice(0, content.length / 2));
+			return;
+		}
+
+		response.writeHead(record.status, {'content-type': 'application/json', 'content-length': content.length});
+		response.end(content);
+	}
+
+	private chooseStatus(shed: boolean, subCallStatuses: readonly number[]): number {
+		if (shed) {
+			return 503;
+		}
+
+		if (this.draw(this.faults.failShare)) {
+			return 500;
+		}
+
+		return subCallStatuses.every(status => status === 200) ? 200 : 502;
+	}
+
+	/** Own work of one request; what was worked is counted when it is cancelled, too. */
+	private async work(record: ExecutionRecord, signal: AbortSignal): Promise<void> {
+		const isCold = Date.now() - this.startedAtMs < this.options.coldStartMs;
+		const spread = 1 + (serviceTimeSpread * ((2 * uniformFloat64(this.random)) - 1));
+		const timeMs = this.options.serviceTimeMs * this.faults.slowFactor * spread * (isCold ? coldFactor : 1);
+		const beganAtMs = performance.now();
+		try {
+			await delay(timeMs, undefined, {signal});
+		} finally {
+			record.ownTimeMs = performance.now() - beganAtMs;
+		}
+	}
+
+	/** Makes a sub-call through the node, with the context copied verbatim. */
+	private async subCall(call: string, request: IncomingMessage, signal: AbortSignal): Promise<{status: number; answer: unknown}> {
+		const [method, path] = call.split(' ', 2);
+		const context = header(request, 'kumquatline-context');
+		const {statusCode, body} = await sendRequest(`${this.options.nodeBackendUrl ?? ''}${path}`, {
+			method: method as 'GET',
+			headers: context ? {'kumquatline-context': context} : {},
+			dispatcher: this.agent,
+			signal,
+		});
+		const text = await body.text();
+		return {status: statusCode, answer: statusCode === 200 ? JSON.parse(text) as unknown : {status: statusCode, text}};
+	}
+
+	private draw(share: number): boolean {
+		return share > 0 && uniformFloat64(this.random) < share;
+	}
+}
+
+function answer(response: ServerResponse, status: number, content: unknown): void {
+	response.writeHead(status, {'content-type': 'application/json'});
+	response.end(JSON.stringify(content));
+}
+
+function header(request: IncomingMessage, name: string): string | undefined {
+	const value = request.headers[name];
+	return Array.isArray(value) ? value[0] : value;
+}
+
+/** Aborted when the connection is closed before the answer. */
+function cancellation(response: ServerResponse): AbortSignal {
+	const controller = new AbortController();
+	response.on('close', () => {
+		if (!response.writableEnded) {
+			controller.abort();
+		}
+	});
+	return controller.signal;
+}
+
+/** Aborted when the remaining time that the node passed on is over. */
+function deadline(request: IncomingMessage): AbortSignal {
+	const remainingMs = Number(header(request, 'kumquatline-deadline-ms'));
+	return remainingMs > 0 ? AbortSignal.timeout(remainingMs) : new AbortController().signal;
+}
--- /dev/null
+++ b/standins/backend-server/slot-queue.ts
@@ -0,0 +1,51 @@
+type Waiter = {
+	readonly start: () => void;
+	readonly signal: AbortSignal;
+};
+
+/** First-come queue for a backend server's slots. */
+export class SlotQueue {
+	private readonly waiters: Waiter[] = [];
+	private used = 0;
+
+	constructor(private readonly slots: number, private readonly capacity: number) {}
+
+	get isFull(): boolean {
+		return this.used >= this.slots && this.waiters.length >= this.capacity;
+	}
+
+	/** Resolves with true when a slot was taken, with false when the signal came first. */
+	async take(signal: AbortSignal): Promise<boolean> {
+		if (this.used < this.slots) {
+			this.used++;
+			return true;
+		}
+
+		return new Promise(resolve => {
+			const waiter: Waiter = {
+				signal,
+				start() {
+					resolve(true);
+				},
+			};
+			this.waiters.push(waiter);
+			signal.addEventListener('abort', () => {
+				const index = this.waiters.indexOf(waiter);
+				if (index !== -1) {
+					this.waiters.splice(index, 1);
+					resolve(false);
+				}
+			}, {once: true});
+		});
+	}
+
+	free(): void {
+		const next = this.waiters.shift();
+		if (next) {
+			next.start();
+			return;
+		}
+
+		this.used--;
+	}
+}
