Add the stored policy service

Change: whole validation, one swap per patch, lost answers settled by patch id and digest, patches fetched from peers by version, a watch where membership asks for it, a slow check by revision elsewhere. Excluded: a store that holds an earlier version than the one in force is neither followed nor written upon.

--- a/src/platform/store/etcd-store-service.ts
+++ b/src/platform/store/etcd-store-service.ts
@@ -41,7 +41,12 @@
 	}
 
 	async get(key: string, signal?: AbortSignal): Promise<StoreEntry | undefined> {
-		const answer = await this.connection.call('/v3/kv/range', {key: encode(key)}, etcdMessages.range, {repeatable: true, signal});
+		return this.getNewer(key, 0, signal);
+	}
+
+	async getNewer(key: string, knownModRevision: number, signal?: AbortSignal): Promise<StoreEntry | undefined> {
+		const request = {key: encode(key), min_mod_revision: String(knownModRevision + 1)};
+		const answer = await this.connection.call('/v3/kv/range', request, etcdMessages.range, {repeatable: true, signal});
 		const keyValue = answer?.kvs[0];
 		return keyValue && toStoreEntry(keyValue);
 	}
--- a/src/platform/store/store-service.ts
+++ b/src/platform/store/store-service.ts
@@ -34,6 +34,8 @@
 	readonly reachable: boolean;
 	readonly onDidChangeReach: Event<boolean>;
 	get(key: string, signal?: AbortSignal): Promise<StoreEntry | undefined>;
+	/** The key's entry if its revision is higher than the known one; costs the store one call and, without news, few bytes. */
+	getNewer(key: string, knownModRevision: number, signal?: AbortSignal): Promise<StoreEntry | undefined>;
 	list(prefix: string, signal?: AbortSignal): Promise<StoreListing>;
 	/** Writes `value` if the key's revision is `expectedModRevision`; 0 expects the key to be absent. */
 	compareAndSwap(key: string, expectedModRevision: number, value: string, leaseId?: string, signal?: AbortSignal): Promise<SwapResult>;
--- /dev/null
+++ b/src/services/policy/apply-patch-record.ts
@@ -0,0 +1,55 @@
+import {applyPatch} from 'rfc6902';
+import {type z} from 'zod';
+import {ErrorKind} from '../../base/error-kind.js';
+import {KumquatlineError} from '../../base/kumquatline-error.js';
+import {parsePolicy} from './parse-policy.js';
+import {type patchRecord} from './patch-record.js';
+import {type Policy} from './policy.js';
+
+type PatchRecord = z.infer<typeof patchRecord>;
+type PatchOperation = NonNullable<PatchRecord['operations']>[number];
+
+const maxRecords = 64;
+/** How much of the latest patches a policy carries for its peers. */
+const maxOperationsBytes = 32_768;
+/** Members that only accepting a patch changes. */
+const keptMembers = new Set(['version', 'recentPatches']);
+
+/** The policy that a patch makes of another, the same at every node; throws `policy-invalid`. */
+export function applyPatchRecord(policy: Policy, record: PatchRecord): Policy {
+	const operations = record.operations ?? [];
+	const {recentPatches, ...document} = structuredClone(policy);
+	for (const [index, operation] of operations.entries()) {
+		checkPlace(operation, index);
+		const [error] = applyPatch(document, [operation]);
+		if (error) {
+			throw new KumquatlineError(ErrorKind.PolicyInvalid, `operation ${index} (${operation.op} ${operation.path}): ${error.message}`);
+		}
+	}
+
+	return parsePolicy({...document, version: record.version, recentPatches: trim([...recentPatches, record])});
+}
+
+function checkPlace(operation: PatchOperation, index: number): void {
+	const pointers = 'from' in operation ? [operation.path, operation.from] : [operation.path];
+	for (const pointer of pointers) {
+		const [, member] = pointer.split('/');
+		if (keptMembers.has(member) && operation.op !== 'test') {
+			throw new KumquatlineError(ErrorKind.PolicyInvalid, `operation ${index}: /${member} is not for patches to change`);
+		}
+	}
+}
+
+/** Keeps the latest records, and the operations of as many of them as have room. */
+function trim(records: readonly PatchRecord[]): PatchRecord[] {
+	let roomBytes = maxOperationsBytes;
+	return records.slice(-maxRecords).toReversed().map(record => {
+		roomBytes -= JSON.stringify(record.operations ?? []).length;
+		if (roomBytes >= 0) {
+			return record;
+		}
+
+		const {operations, ...rest} = record;
+		return rest;
+	}).toReversed();
+}
--- /dev/null
+++ b/src/services/policy/check-policy.ts
@@ -0,0 +1,114 @@
+import {Buffer} from 'node:buffer';
+import {type Operation} from './operation.js';
+import {type Policy} from './policy.js';
+
+/** Largest policy as JSON; the store holds values up to a megabyte. */
+const maxPolicyBytes = 900_000;
+const idempotentMethods = new Set(['GET', 'HEAD']);
+const reservedPath = '/kumquatline';
+
+/** What is wrong with a policy as a whole, one readable line each; empty when it may be accepted. */
+export function checkPolicy(policy: Policy): string[] {
+	return [
+		...findDuplicates('services', policy.services),
+		...findDuplicates('operations', policy.operations),
+		...findDuplicates('callers', policy.callers),
+		...policy.operations.flatMap((operation, index) => checkOperation(operation, `/operations/${index}`, policy)),
+		...findAmbiguousRoutes(policy.operations),
+		...checkDurations(policy),
+		...checkSize(policy),
+	];
+}
+
+function findDuplicates(list: string, items: ReadonlyArray<{readonly name: string}>): string[] {
+	const seen = new Set<string>();
+	const problems: string[] = [];
+	for (const [index, {name}] of items.entries()) {
+		if (seen.has(name)) {
+			problems.push(`/${list}/${index}/name: "${name}" is declared twice`);
+		}
+
+		seen.add(name);
+	}
+
+	return problems;
+}
+
+function checkOperation(operation: Operation, place: string, policy: Policy): string[] {
+	const services = new Set(policy.services.map(service => service.name));
+	const problems: string[] = [];
+	if (!services.has(operation.service)) {
+		problems.push(`${place}/service: "${operation.service}" is not a declared service`);
+	}
+
+	for (const [index, called] of operation.calls.entries()) {
+		if (!services.has(called)) {
+			problems.push(`${place}/calls/${index}: "${called}" is not a declared service`);
+		}
+	}
+
+	if (idempotentMethods.has(operation.method) && !operation.idempotent) {
+		problems.push(`${place}/idempotent: ${operation.method} operations are idempotent`);
+	}
+
+	if (operation.timeoutMs > policy.retryHorizonMs) {
+		problems.push(`${place}/timeoutMs: ${operation.timeoutMs} is longer than /retryHorizonMs (${policy.retryHorizonMs})`);
+	}
+
+	return [...problems, ...checkPath(operation.path, `${place}/path`)];
+}
+
+function checkPath(path: string, place: string): string[] {
+	const problems: string[] = [];
+	const parameters = new Set<string>();
+	if (path === reservedPath || path.startsWith(`${reservedPath}/`)) {
+		problems.push(`${place}: "${path}" lies under ${reservedPath}, which the nodes keep for themselves`);
+	}
+
+	for (const segment of path.slice(1).split('/')) {
+		if (!/^(?::[A-Za-z]\w*|[\w\-.~]+)$/v.test(segment) && path !== '/') {
+			problems.push(`${place}: "${segment}" is neither a plain segment nor a parameter such as ":id"`);
+		}
+
+		if (segment.startsWith(':') && parameters.has(segment)) {
+			problems.push(`${place}: parameter "${segment}" occurs twice`);
+		}
+
+		parameters.add(segment);
+	}
+
+	return problems;
+}
+
+/** Two operations of one method must not take the same paths; parameters match anything. */
+function findAmbiguousRoutes(operations: readonly Operation[]): string[] {
+	const owners = new Map<string, string>();
+	const problems: string[] = [];
+	for (const [index, {name, method, path}] of operations.entries()) {
+		const shape = `${method} ${path.replaceAll(/:\w+/gv, ':')}`;
+		const owner = owners.get(shape);
+		if (owner !== undefined) {
+			problems.push(`/operations/${index}/path: ${method} ${path} takes the same paths as operation "${owner}"`);
+		}
+
+		owners.set(shape, name);
+	}
+
+	return problems;
+}
+
+function checkDurations(policy: Policy): string[] {
+	const problems: string[] = [];
+	for (const [index, {patienceMs}] of policy.callers.entries()) {
+		if (patienceMs > policy.retryHorizonMs) {
+			problems.push(`/callers/${index}/patienceMs: ${patienceMs} is longer than /retryHorizonMs (${policy.retryHorizonMs})`);
+		}
+	}
+
+	return problems;
+}
+
+function checkSize(policy: Policy): string[] {
+	const sizeBytes = Buffer.byteLength(JSON.stringify(policy));
+	return sizeBytes > maxPolicyBytes ? [`/: the policy takes ${sizeBytes} bytes of at most ${maxPolicyBytes}`] : [];
+}
--- /dev/null
+++ b/src/services/policy/decode-policy-news.ts
@@ -0,0 +1,33 @@
+import {applyPatchRecord} from './apply-patch-record.js';
+import {parsePolicy} from './parse-policy.js';
+import {policyDigest} from './policy-digest.js';
+import {type policyMethod} from './policy-method.js';
+import {type Policy} from './policy.js';
+
+type PolicyNews = typeof policyMethod.result;
+
+/**
+The policy that a peer's answer leads to, undefined without news.
+Throws when the answer doesn't fit together, as when the policy in force is another than the one asked with.
+*/
+export function decodePolicyNews(news: PolicyNews, known: Policy | undefined): Policy | undefined {
+	if (news.version <= (known?.version ?? 0)) {
+		return undefined;
+	}
+
+	const policy = known && news.patches ? applyAll(known, news.patches) : parsePolicy(news.policy);
+	if (policyDigest(policy) !== news.digest) {
+		throw new Error(`version ${news.version} from a peer does not have the digest it should`);
+	}
+
+	return policy;
+}
+
+function applyAll(known: Policy, patches: NonNullable<PolicyNews['patches']>): Policy {
+	let policy = known;
+	for (const record of patches) {
+		policy = applyPatchRecord(policy, record);
+	}
+
+	return policy;
+}
--- /dev/null
+++ b/src/services/policy/encode-policy-news.ts
@@ -0,0 +1,24 @@
+import {policyDigest} from './policy-digest.js';
+import {type policyMethod} from './policy-method.js';
+import {type Policy} from './policy.js';
+
+/** Tells a peer what has changed since its version: the patches if the policy still holds them all, else the whole. */
+export function encodePolicyNews(policy: Policy | undefined, modRevision: number, knownVersion: number): typeof policyMethod.result {
+	if (!policy || policy.version <= knownVersion) {
+		return {version: policy?.version ?? 0, modRevision};
+	}
+
+	const {version} = policy;
+	const patches = policy.recentPatches.filter(record => record.version > knownVersion);
+	const isComplete = knownVersion > 0
+		&& patches.length === version - knownVersion
+		&& patches.every(record => record.operations !== undefined);
+	const digest = policyDigest(policy);
+	return isComplete
+		? {
+			version, modRevision, digest, patches,
+		}
+		: {
+			version, modRevision, digest, policy,
+		};
+}
--- a/src/services/policy/policy-document.ts
+++ b/src/services/policy/policy-document.ts
@@ -1,5 +1,6 @@
 import {z} from 'zod';
 import {Importance} from './importance.js';
+import {patchRecord} from './patch-record.js';
 
 const name = z.string().regex(/^[a-z\d][a-z\d\-]{0,62}$/v);
 const durationMs = z.number().int().min(1).max(86_400_000);
@@ -30,14 +31,6 @@
 	shardCount: z.number().int().min(1).max(256).default(32),
 });
 
-const patchRecord = z.strictObject({
-	patchId: z.string().min(1).max(128),
-	version: z.number().int().min(1),
-	acceptedAtMs: z.number().int(),
-	/** Digest of the operations of the patch, so that an id is not used for two. */
-	digest: z.string(),
-});
-
 /** The operators' declarations: one versioned document, accepted or refused whole. */
 export const policyDocument = z.strictObject({
 	version: z.number().int().min(1),
--- /dev/null
+++ b/src/services/policy/policy-fetcher.ts
@@ -0,0 +1,134 @@
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {type RandomGenerator} from 'pure-rand/types/RandomGenerator';
+import {type Disposable} from '../../base/disposable.js';
+import {sleep} from '../../base/sleep.js';
+import {type PeerAddress} from '../../platform/peer/peer-address.js';
+import {type PeerService} from '../../platform/peer/peer-service.js';
+import {Backoff} from '../../platform/store/backoff.js';
+import {decodePolicyNews} from './decode-policy-news.js';
+import {policyMethod} from './policy-method.js';
+import {type Policy} from './policy.js';
+
+/** Time to hear of several peers with news, so that not all nodes ask the same one. */
+const gatherMs = 200;
+const firstBackoffMs = 50;
+const backoffLimitMs = 1000;
+const maxFailures = 5;
+
+type Candidate = {
+	readonly version: number;
+	readonly peer: PeerAddress;
+	readonly failures: number;
+};
+
+type FetcherOptions = {
+	readonly timeoutMs: number;
+	readonly known: () => Policy | undefined;
+	readonly onDidFetch: (policy: Policy, modRevision: number) => void;
+	readonly onDidFail: (peer: PeerAddress, error: unknown) => void;
+};
+
+/** Fetches versions of the policy that gossip has told of from the peers that have them. */
+export class PolicyFetcher implements Disposable {
+	private readonly controller = new AbortController();
+	private readonly candidates = new Map<string, Candidate>();
+	private isRunning = false;
+
+	constructor(
+		private readonly peers: PeerService,
+		private readonly random: RandomGenerator,
+		private readonly options: FetcherOptions,
+	) {}
+
+	private get knownVersion(): number {
+		return this.options.known()?.version ?? 0;
+	}
+
+	hearOf(version: number, peer: PeerAddress): void {
+		if (version <= this.knownVersion || this.controller.signal.aborted) {
+			return;
+		}
+
+		this.candidates.set(peer.nodeId, {version, peer, failures: 0});
+		if (!this.isRunning) {
+			void this.run();
+		}
+	}
+
+	dispose(): void {
+		this.controller.abort();
+		this.candidates.clear();
+	}
+
+	private async run(): Promise<void> {
+		this.isRunning = true;
+		try {
+			await sleep(gatherMs * (0.5 + (uniformFloat64(this.random) / 2)), this.controller.signal);
+			await this.fetchAll();
+		} catch {
+			// Disposed.
+		} finally {
+			this.isRunning = false;
+		}
+	}
+
+	private async fetchAll(): Promise<void> {
+		const backoff = new Backoff(this.random, firstBackoffMs, backoffLimitMs);
+		for (let candidate = this.choose(); candidate; candidate = this.choose()) {
+			try {
+				await this.fetch(candidate.peer);
+			} catch (error) {
+				this.noteFailure(candidate);
+				this.options.onDidFail(candidate.peer, error);
+				await backoff.wait(this.controller.signal);
+			}
+		}
+	}
+
+	/** One of the peers that failed least, then of those with the highest version. */
+	private choose(): Candidate | undefined {
+		let best: Candidate[] = [];
+		for (const [nodeId, candidate] of this.candidates) {
+			if (candidate.version <= this.knownVersion) {
+				this.candidates.delete(nodeId);
+				continue;
+			}
+
+			const order = best.length === 0 ? -1 : (candidate.failures - best[0].failures || best[0].version - candidate.version);
+			if (order < 0) {
+				best = [candidate];
+			} else if (order === 0) {
+				best.push(candidate);
+			}
+		}
+
+		return best.length === 0 ? undefined : best[uniformInt(this.random, 0, best.length - 1)];
+	}
+
+	private async fetch(peer: PeerAddress): Promise<void> {
+		const known = this.options.known();
+		const question = {version: known?.version ?? 0};
+		const news = await this.peers.call(peer, policyMethod, question, {timeoutMs: this.options.timeoutMs, signal: this.controller.signal});
+		const policy = decodePolicyNews(news, known);
+		if (!policy) {
+			throw new Error(`${peer.nodeId} has version ${news.version} only`);
+		}
+
+		this.options.onDidFetch(policy, news.modRevision);
+	}
+
+	private noteFailure(failed: Candidate): void {
+		const {nodeId} = failed.peer;
+		// A later word of gossip on the same peer counts afresh.
+		if (this.candidates.get(nodeId) !== failed) {
+			return;
+		}
+
+		if (failed.failures + 1 === maxFailures) {
+			this.candidates.delete(nodeId);
+		} else {
+			this.candidates.set(nodeId, {...failed, failures: failed.failures + 1});
+		}
+	}
+}
--- /dev/null
+++ b/src/services/policy/policy-key.ts
@@ -0,0 +1,2 @@
+/** Key of the policy in the store. */
+export const policyKey = '/kumquatline/policy';
--- /dev/null
+++ b/src/services/policy/policy-writer.ts
@@ -0,0 +1,108 @@
+import {ErrorKind} from '../../base/error-kind.js';
+import {Execution} from '../../base/execution.js';
+import {KumquatlineError} from '../../base/kumquatline-error.js';
+import {type Backoff} from '../../platform/store/backoff.js';
+import {type StoreEntry} from '../../platform/store/store-entry.js';
+import {type StoreService} from '../../platform/store/store-service.js';
+import {parsePolicy} from './parse-policy.js';
+import {policyKey} from './policy-key.js';
+import {type PatchResult} from './policy-service.js';
+import {type Policy} from './policy.js';
+
+/** A change that an operator asks for. */
+type Proposal = {
+	readonly patchId: string;
+	readonly digest: string;
+	/** The policy that the change makes of the one found; throws when that is refused. */
+	readonly make: (found: Policy | undefined) => Policy;
+};
+
+type WrittenPolicy = {
+	readonly policy: Policy;
+	readonly modRevision: number;
+};
+
+/** Writes policies by compare-and-swap, and finds out what became of a write whose answer was lost. */
+export class PolicyWriter {
+	constructor(
+		private readonly store: StoreService,
+		private readonly backoff: () => Backoff,
+		private readonly onDidWrite: (written: WrittenPolicy) => void,
+	) {}
+
+	/**
+	Repeats the swap until its outcome is known: it can take effect once only, as each try expects the same revision.
+	Throws `store-unavailable` when the signal ends that first; then the change may have been accepted.
+	*/
+	async write(proposal: Proposal, signal: AbortSignal): Promise<PatchResult> {
+		let found = await this.read(signal);
+		let isSent = false;
+		const backoff = this.backoff();
+		for (;;) {
+			const version = this.findAccepted(found?.policy, proposal);
+			if (version !== undefined) {
+				this.onDidWrite(found!);
+				return {version, repeated: !isSent};
+			}
+
+			const policy = proposal.make(found?.policy);
+			isSent = true;
+			const modRevision = await this.trySwap(found?.modRevision ?? 0, policy, signal);
+			if (modRevision !== undefined) {
+				this.onDidWrite({policy, modRevision});
+				return {version: policy.version, repeated: false};
+			}
+
+			found = await this.readBack(backoff, signal);
+		}
+	}
+
+	/** The version that the proposal has become, if it was accepted. */
+	private findAccepted(policy: Policy | undefined, {patchId, digest}: Proposal): number | undefined {
+		const record = policy?.recentPatches.find(candidate => candidate.patchId === patchId);
+		if (record && record.digest !== digest) {
+			throw new KumquatlineError(ErrorKind.PolicyInvalid, `patch id "${patchId}" belongs to another patch, which made version ${record.version}`);
+		}
+
+		return record?.version;
+	}
+
+	/** Returns the new revision, or undefined when the swap failed or its answer was lost. */
+	private async trySwap(expectedModRevision: number, policy: Policy, signal: AbortSignal): Promise<number | undefined> {
+		try {
+			const result = await this.store.compareAndSwap(policyKey, expectedModRevision, JSON.stringify(policy), undefined, signal);
+			return result.swapped ? result.modRevision : undefined;
+		} catch {
+			return undefined;
+		}
+	}
+
+	private async readBack(backoff: Backoff, signal: AbortSignal): Promise<WrittenPolicy | undefined> {
+		for (;;) {
+			try {
+				return await this.read(signal);
+			} catch (error) {
+				if (signal.aborted) {
+					throw new KumquatlineError(ErrorKind.StoreUnavailable, 'the store did not tell whether it took the change; submit it again under the same patch id', {
+						execution: Execution.Unknown, cause: error,
+					});
+				}
+			}
+
+			await this.waitOrStop(backoff, signal);
+		}
+	}
+
+	private async waitOrStop(backoff: Backoff, signal: AbortSignal): Promise<void> {
+		try {
+			await backoff.wait(signal);
+		} catch {
+			// The next reading fails at once and tells.
+		}
+	}
+
+	private async read(signal: AbortSignal): Promise<WrittenPolicy | undefined> {
+		const entry: StoreEntry | undefined = await this.store.get(policyKey, signal);
+		return entry && {policy: parsePolicy(JSON.parse(entry.value)), modRevision: entry.modRevision};
+	}
+}
--- /dev/null
+++ b/src/services/policy/stored-policy-service.ts
@@ -0,0 +1,222 @@
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {type RandomGenerator} from 'pure-rand/types/RandomGenerator';
+import {type Disposable} from '../../base/disposable.js';
+import {DisposableStore} from '../../base/disposable-store.js';
+import {Emitter} from '../../base/emitter.js';
+import {ErrorKind} from '../../base/error-kind.js';
+import {type Event} from '../../base/event.js';
+import {ignoreRejection} from '../../base/ignore-rejection.js';
+import {KumquatlineError} from '../../base/kumquatline-error.js';
+import {sleep} from '../../base/sleep.js';
+import {LogService} from '../../platform/log/log-service.js';
+import {type PeerAddress} from '../../platform/peer/peer-address.js';
+import {PeerService} from '../../platform/peer/peer-service.js';
+import {SettingsService} from '../../platform/settings/settings-service.js';
+import {Backoff} from '../../platform/store/backoff.js';
+import {type StoreEntry} from '../../platform/store/store-entry.js';
+import {StoreService} from '../../platform/store/store-service.js';
+import {encodePolicyNews} from './encode-policy-news.js';
+import {makeFirstPolicy} from './make-first-policy.js';
+import {makePatchedPolicy} from './make-patched-policy.js';
+import {parsePatch} from './parse-patch.js';
+import {parsePolicy} from './parse-policy.js';
+import {policyDigest} from './policy-digest.js';
+import {PolicyFetcher} from './policy-fetcher.js';
+import {policyKey} from './policy-key.js';
+import {policyMethod} from './policy-method.js';
+import {type PatchResult, type PolicyPatch, type PolicyService} from './policy-service.js';
+import {type Policy} from './policy.js';
+import {PolicyWriter} from './policy-writer.js';
+
+/** How often a watching node compares its watch with a reading by revision. */
+const watchCheckIntervalMs = 1000;
+/** Mean time between the checks of a node that hears of versions from its peers. */
+const slowCheckIntervalMs = 60_000;
+const firstBackoffMs = 200;
+const backoffLimitMs = 5000;
+const maxSeed = 0x7F_FF_FF_FF;
+
+/** The policy that the store holds, learned from the store or from peers, never an earlier version than before. */
+export class StoredPolicyService implements PolicyService, Disposable {
+	readonly onDidChange: Event<Policy>;
+	private readonly disposables = new DisposableStore();
+	private readonly controller = new AbortController();
+	private readonly changeEmitter = this.disposables.add(new Emitter<Policy>());
+	private readonly random: RandomGenerator;
+	private readonly fetcher: PolicyFetcher;
+	private readonly writer: PolicyWriter;
+	private policy: Policy | undefined;
+	/** Revision of the store's key that has the policy in force; 0 when not known. */
+	private modRevision = 0;
+	private watch: Disposable | undefined;
+
+	constructor(
+		@SettingsService settingsService: SettingsService,
+		@StoreService private readonly store: StoreService,
+		@PeerService private readonly peers: PeerService,
+		@LogService private readonly log: LogService,
+	) {
+		const {seed, probeAfterMs, abandonAfterMs} = settingsService.settings;
+		this.onDidChange = this.changeEmitter.event;
+		this.random = xoroshiro128plus(seed === 0 ? Math.floor(Math.random() * maxSeed) : seed);
+		this.writer = new PolicyWriter(store, () => this.newBackoff(), ({policy, modRevision}) => {
+			this.take(policy, modRevision);
+		});
+		this.fetcher = this.disposables.add(new PolicyFetcher(peers, this.random, {
+			timeoutMs: probeAfterMs + abandonAfterMs,
+			known: () => this.policy,
+			onDidFetch: (policy, modRevision) => {
+				this.take(policy, modRevision);
+			},
+			onDidFail: (peer, error) => {
+				this.log.debug('policy not fetched from a peer', {peer: peer.nodeId, error: String(error)});
+			},
+		}));
+	}
+
+	get current(): Policy {
+		if (!this.policy) {
+			throw new KumquatlineError(ErrorKind.PolicyUnknown, 'no policy is known yet');
+		}
+
+		return this.policy;
+	}
+
+	get version(): number {
+		return this.policy?.version ?? 0;
+	}
+
+	async start(signal: AbortSignal): Promise<void> {
+		this.disposables.add(this.peers.handle(policyMethod, async ({version}) => encodePolicyNews(this.policy, this.modRevision, version)));
+		await ignoreRejection(this.readStore(signal));
+		void ignoreRejection(this.acquire());
+		void ignoreRejection(this.checkSlowly());
+	}
+
+	async initialize(document: unknown, signal: AbortSignal): Promise<PatchResult> {
+		const first = makeFirstPolicy(document, Date.now());
+		const [{patchId, digest}] = first.recentPatches;
+		return this.writer.write({
+			patchId,
+			digest,
+			make: found => {
+				this.checkNotEarlier(found);
+				if (found) {
+					throw new KumquatlineError(ErrorKind.PolicyConflict, `there is a policy already: version ${found.version} is in force`);
+				}
+
+				return first;
+			},
+		}, signal);
+	}
+
+	async submit(patch: PolicyPatch, signal: AbortSignal): Promise<PatchResult> {
+		const {patchId, baseVersion, operations} = parsePatch(patch);
+		const acceptedAtMs = Date.now();
+		return this.writer.write({
+			patchId,
+			digest: policyDigest({baseVersion, operations}),
+			make: found => {
+				this.checkNotEarlier(found);
+				return makePatchedPolicy(found, {patchId, baseVersion, operations}, acceptedAtMs);
+			},
+		}, signal);
+	}
+
+	preview(patch: PolicyPatch): Policy {
+		return makePatchedPolicy(this.current, parsePatch(patch), Date.now());
+	}
+
+	hearOf(version: number, peer: PeerAddress): void {
+		this.fetcher.hearOf(version, peer);
+	}
+
+	setWatching(watching: boolean): void {
+		if (watching === (this.watch !== undefined) || this.controller.signal.aborted) {
+			return;
+		}
+
+		this.watch?.dispose();
+		this.watch = watching
+			? this.store.watch(policyKey, ({key, entry}) => {
+				if (key === policyKey) {
+					this.takeEntry(entry);
+				}
+			}, watchCheckIntervalMs)
+			: undefined;
+	}
+
+	dispose(): void {
+		this.setWatching(false);
+		this.controller.abort();
+		this.disposables.dispose();
+	}
+
+	private newBackoff(): Backoff {
+		return new Backoff(this.random, firstBackoffMs, backoffLimitMs);
+	}
+
+	private take(policy: Policy, modRevision: number): void {
+		if (policy.version < this.version) {
+			return;
+		}
+
+		this.modRevision = Math.max(this.modRevision, modRevision);
+		if (policy.version === this.version) {
+			return;
+		}
+
+		this.policy = policy;
+		this.log.info('policy in force', {version: policy.version});
+		this.changeEmitter.fire(policy);
+	}
+
+	private takeEntry(entry: StoreEntry | undefined): void {
+		if (!entry) {
+			this.log.error('the store holds no policy', {version: this.version});
+			return;
+		}
+
+		try {
+			const policy = parsePolicy(JSON.parse(entry.value));
+			this.checkNotEarlier(policy);
+			this.take(policy, entry.modRevision);
+		} catch (error) {
+			this.log.error('the store holds a policy that can not be in force', {error: String(error)});
+		}
+	}
+
+	/** A store that was emptied or set back is not to be written on: versions would be given out twice. */
+	private checkNotEarlier(found: Policy | undefined): void {
+		const version = found?.version ?? 0;
+		if (version < this.version) {
+			throw new KumquatlineError(ErrorKind.PolicyConflict, `version ${this.version} is in force but the store holds version ${version}`);
+		}
+	}
+
+	private async readStore(signal: AbortSignal): Promise<void> {
+		const entry = await this.store.getNewer(policyKey, this.modRevision, signal);
+		if (entry) {
+			this.takeEntry(entry);
+		}
+	}
+
+	/** Asks the store again and again until there is a policy from it or from a peer. */
+	private async acquire(): Promise<void> {
+		const backoff = this.newBackoff();
+		while (!this.policy) {
+			await backoff.wait(this.controller.signal);
+			await ignoreRejection(this.readStore(this.controller.signal));
+		}
+	}
+
+	private async checkSlowly(): Promise<void> {
+		for (;;) {
+			await sleep(slowCheckIntervalMs * (0.5 + uniformFloat64(this.random)), this.controller.signal);
+			if (!this.watch) {
+				await ignoreRejection(this.readStore(this.controller.signal));
+			}
+		}
+	}
+}
--- /dev/null
+++ b/src/services/policy/test/policy-node.ts
@@ -0,0 +1,46 @@
+import {type Disposable} from '../../../base/disposable.js';
+import {Kernel} from '../../../platform/kernel/kernel.js';
+import {LogService} from '../../../platform/log/log-service.js';
+import {PeerService} from '../../../platform/peer/peer-service.js';
+import {FixedSettingsService} from '../../../platform/settings/fixed-settings-service.js';
+import {type NodeSettings} from '../../../platform/settings/node-settings.js';
+import {SettingsService} from '../../../platform/settings/settings-service.js';
+import {StoreService} from '../../../platform/store/store-service.js';
+import {PolicyService} from '../policy-service.js';
+import {StoredPolicyService} from '../stored-policy-service.js';
+import {LocalPeers} from './local-peers.js';
+import {type MemoryStore} from './memory-store.js';
+
+const ignore = (): void => undefined;
+
+/** A real policy service with a store and peers in memory. */
+export class PolicyNode implements Disposable {
+	readonly peers: LocalPeers;
+	readonly policy: PolicyService;
+	/** Versions that were in force here, in order. */
+	readonly versions: number[] = [];
+	private readonly kernel: Kernel;
+
+	constructor(nodeId: string, store: MemoryStore, nodes: Map<string, LocalPeers>) {
+		const settings = {
+			nodeId, probeAfterMs: 500, abandonAfterMs: 500, seed: nodeId.length,
+		} as unknown as NodeSettings;
+		this.peers = new LocalPeers(nodeId, nodes);
+		this.kernel = new Kernel()
+			.registerInstance(SettingsService, new FixedSettingsService(settings))
+			.registerInstance(StoreService, store)
+			.registerInstance(PeerService, this.peers)
+			.registerInstance(LogService, {
+				debug: ignore, info: ignore, warn: ignore, error: ignore,
+			})
+			.register(PolicyService, StoredPolicyService);
+		this.policy = this.kernel.get(PolicyService);
+		this.policy.onDidChange(({version}) => {
+			this.versions.push(version);
+		});
+	}
+
+	dispose(): void {
+		this.kernel.dispose();
+	}
+}
--- /dev/null
+++ b/src/services/policy/test/stored-policy-service.test.ts
@@ -0,0 +1,167 @@
+import {install, type Clock} from '@sinonjs/fake-timers';
+import test from 'ava';
+import {ErrorKind} from '../../../base/error-kind.js';
+import {Importance} from '../importance.js';
+import {type LocalPeers} from './local-peers.js';
+import {MemoryStore} from './memory-store.js';
+import {PolicyNode} from './policy-node.js';
+import {sampleDocument} from './sample-document.js';
+
+const noSignal = new AbortController().signal;
+const longMs = 200_000;
+
+let clock: Clock;
+
+test.serial.beforeEach(() => {
+	clock = install();
+});
+
+test.serial.afterEach.always(() => {
+	clock.uninstall();
+});
+
+function importanceOf(importance: string, patchId: string, baseVersion: number) {
+	return {patchId, baseVersion, operations: [{op: 'replace' as const, path: '/operations/0/importance', value: importance}]};
+}
+
+async function startNodes(count: number) {
+	const store = new MemoryStore();
+	const directory = new Map<string, LocalPeers>();
+	const nodes = Array.from({length: count}, (_, index) => new PolicyNode(`node-${index}`, store, directory));
+	for (const node of nodes) {
+		await node.policy.start(noSignal);
+	}
+
+	return {store, directory, nodes};
+}
+
+test.serial('a patch makes the next version from the one it names', async t => {
+	const {nodes: [node]} = await startNodes(1);
+	t.throws(() => node.policy.current, {message: /no policy/v});
+	t.like(await node.policy.initialize(sampleDocument, noSignal), {version: 1, repeated: false});
+	t.like(await node.policy.submit(importanceOf('normal', 'p1', 1), noSignal), {version: 2, repeated: false});
+	t.is(node.policy.current.operations[0].importance, Importance.Normal);
+	t.deepEqual(node.versions, [1, 2]);
+});
+
+test.serial('of two patches on one version the later is told the version in force', async t => {
+	const {nodes: [first, second]} = await startNodes(2);
+	await first.policy.initialize(sampleDocument, noSignal);
+	const outcomes = await Promise.allSettled([
+		first.policy.submit(importanceOf('normal', 'p1', 1), noSignal),
+		second.policy.submit(importanceOf('high', 'p2', 1), noSignal),
+	]);
+	t.deepEqual(outcomes.map(({status}) => status), ['fulfilled', 'rejected']);
+	const error = await t.throwsAsync(second.policy.submit(importanceOf('high', 'p2', 1), noSignal));
+	t.like(error, {kind: ErrorKind.PolicyConflict, message: 'the patch is based on version 1 but version 2 is in force'});
+	t.is(first.policy.current.operations[0].importance, Importance.Normal);
+});
+
+test.serial('a lost answer is settled by reading back', async t => {
+	const {store, nodes: [node]} = await startNodes(1);
+	await node.policy.initialize(sampleDocument, noSignal);
+	store.answersToLose = 1;
+	t.like(await node.policy.submit(importanceOf('normal', 'p1', 1), noSignal), {version: 2, repeated: false});
+	t.like(await node.policy.submit(importanceOf('normal', 'p1', 1), noSignal), {version: 2, repeated: true});
+	t.deepEqual(node.versions, [1, 2]);
+});
+
+test.serial('a patch id that is used again for another patch is refused', async t => {
+	const {nodes: [node]} = await startNodes(1);
+	await node.policy.initialize(sampleDocument, noSignal);
+	await node.policy.submit(importanceOf('normal', 'p1', 1), noSignal);
+	const error = await t.throwsAsync(node.policy.submit(importanceOf('high', 'p1', 2), noSignal));
+	t.like(error, {kind: ErrorKind.PolicyInvalid, message: 'patch id "p1" belongs to another patch, which made version 2'});
+	t.is(node.policy.version, 2);
+});
+
+test.serial('a node learns of a version from a peer by the patch alone', async t => {
+	const {nodes: [first, second], store} = await startNodes(2);
+	await first.policy.initialize(sampleDocument, noSignal);
+	second.policy.hearOf(1, first.peers.self);
+	await clock.tickAsync(1000);
+	await first.policy.submit(importanceOf('normal', 'p1', 1), noSignal);
+	store.isAway = true;
+	second.policy.hearOf(2, first.peers.self);
+	await clock.tickAsync(1000);
+	t.deepEqual(second.versions, [1, 2]);
+	t.deepEqual(second.policy.current, first.policy.current);
+});
+
+test.serial('a peer that is gone is passed over for another', async t => {
+	const {nodes: [first, second], directory} = await startNodes(2);
+	await first.policy.initialize(sampleDocument, noSignal);
+	second.policy.hearOf(9, {...first.peers.self, nodeId: 'gone'});
+	second.policy.hearOf(1, first.peers.self);
+	await clock.tickAsync(3000);
+	t.false(directory.has('gone'));
+	t.is(second.policy.version, 1);
+});
+
+test.serial('an earlier version in the store is neither taken nor written upon', async t => {
+	const {nodes: [node], store} = await startNodes(1);
+	await node.policy.initialize(sampleDocument, noSignal);
+	const first = JSON.stringify(node.policy.current);
+	await node.policy.submit(importanceOf('normal', 'p1', 1), noSignal);
+	store.put('/kumquatline/policy', first);
+	node.policy.setWatching(true);
+	await clock.tickAsync(longMs);
+	t.is(node.policy.version, 2);
+	const error = await t.throwsAsync(node.policy.submit(importanceOf('high', 'p2', 1), noSignal));
+	t.like(error, {kind: ErrorKind.PolicyConflict});
+	t.deepEqual(node.versions, [1, 2]);
+});
+
+test.serial('a node that starts in an outage takes the highest version of its peers', async t => {
+	const {nodes: [first, second], store, directory} = await startNodes(2);
+	await first.policy.initialize(sampleDocument, noSignal);
+	second.policy.hearOf(1, first.peers.self);
+	await clock.tickAsync(1000);
+	await first.policy.submit(importanceOf('normal', 'p1', 1), noSignal);
+	store.isAway = true;
+	const late = new PolicyNode('late', store, directory);
+	await late.policy.start(noSignal);
+	t.is(late.policy.version, 0);
+	late.policy.hearOf(1, second.peers.self);
+	late.policy.hearOf(2, first.peers.self);
+	await clock.tickAsync(1000);
+	t.deepEqual(late.versions, [2]);
+});
+
+test.serial('a node that nobody tells finds a new version by the slow check', async t => {
+	const {nodes: [first, second], store} = await startNodes(2);
+	await first.policy.initialize(sampleDocument, noSignal);
+	await clock.tickAsync(longMs);
+	t.is(second.policy.version, 1);
+	await first.policy.submit(importanceOf('normal', 'p1', 1), noSignal);
+	const callsBefore = store.calls.length;
+	await clock.tickAsync(longMs);
+	t.is(second.policy.version, 2);
+	t.true(store.calls.length - callsBefore < 20);
+});
+
+test.serial('a watching node takes a version at once', async t => {
+	const {nodes: [first, second]} = await startNodes(2);
+	second.policy.setWatching(true);
+	await first.policy.initialize(sampleDocument, noSignal);
+	t.is(second.policy.version, 1);
+	second.policy.setWatching(false);
+	await first.policy.submit(importanceOf('normal', 'p1', 1), noSignal);
+	t.is(second.policy.version, 1);
+});
+
+test.serial('a write that the store leaves open is told as such', async t => {
+	const {nodes: [node], store} = await startNodes(1);
+	await node.policy.initialize(sampleDocument, noSignal);
+	store.beforeSwap = () => {
+		store.isAway = true;
+		store.answersToLose = 1;
+	};
+
+	const controller = new AbortController();
+	const outcome = t.throwsAsync(node.policy.submit(importanceOf('normal', 'p1', 1), controller.signal));
+	await clock.tickAsync(5000);
+	controller.abort();
+	await clock.tickAsync(5000);
+	t.like(await outcome, {kind: ErrorKind.StoreUnavailable, execution: 'unknown'});
+});
