Probe silent peer connections; add a relay that harms connections

A reply that nobody waits for is no sign of life, as it may be meant for another connection. Idle connections and links to runs that nobody calls are given up; the memory of call ids is bounded by count and bytes. Excluded: pausing reads under back-pressure, as two ends that pause at once never go on; a reader that is stuck loses its connection instead and its calls go over a new one.

--- a/src/platform/peer/call-memory.ts
+++ b/src/platform/peer/call-memory.ts
@@ -16,6 +16,7 @@
 };
 
 const sweepIntervalMs = 1000;
+const maxCalls = 65_536;
 const maxOutcomeBytes = 16_777_216;
 const forgotten: CallOutcome = {error: {kind: ErrorKind.PeerLost, message: 'the outcome of the call is kept no longer'}};
 
@@ -26,8 +27,10 @@
 	private settledBytes = 0;
 	private sweptAtMs = 0;
 
-	get size(): number {
-		return this.calls.size;
+	/** Whether no further call can be remembered, and so none may begin. */
+	get isFull(): boolean {
+		this.sweep();
+		return this.calls.size >= maxCalls;
 	}
 
 	/** The outcome of a call that was received before, for one more sender. */
@@ -39,7 +42,6 @@
 
 	/** Begins a call that was not received before. */
 	async begin(key: string, sender: string, expiresAtMs: number, run: (controller: AbortController) => Promise<CallOutcome>): Promise<CallOutcome> {
-		this.sweep();
 		const controller = new AbortController();
 		const outcome = run(controller);
 		const call = {
@@ -53,6 +55,10 @@
 	/** Ends the wait of a sender; the call is aborted when no other waits. One that was not received yet will not run. */
 	cancel(key: string, sender: string, expiresAtMs: number): void {
 		const call = this.calls.get(key);
+		if (!call && this.isFull) {
+			return;
+		}
+
 		if (!call) {
 			const error = {kind: ErrorKind.CallerGone, message: 'cancelled before it arrived', started: false};
 			void this.begin(key, sender, expiresAtMs, async () => ({error}));
--- a/src/platform/peer/call-receiver.ts
+++ b/src/platform/peer/call-receiver.ts
@@ -53,6 +53,10 @@
 			return {error: {kind: ErrorKind.DeadlineExceeded, message: 'the call arrived after its deadline', started: false}};
 		}
 
+		if (this.memory.isFull) {
+			return {error: {kind: ErrorKind.Overloaded, message: 'the node remembers as many calls as it can', started: false}};
+		}
+
 		const expiresAtMs = Math.max(startByMs, nowMs + wireCall.timeoutMs);
 		return this.memory.begin(id, from.nodeId, expiresAtMs, async controller => this.run(id, method, wireCall, from, controller));
 	}
--- /dev/null
+++ b/src/platform/peer/frame-channel.ts
@@ -0,0 +1,105 @@
+import {type Socket} from 'node:net';
+import {Deferred} from '../../base/deferred.js';
+import {type Disposable} from '../../base/disposable.js';
+import {encodeFrame} from './encode-frame.js';
+import {FrameDecoder} from './frame-decoder.js';
+
+type FrameHandlers = {
+	/** Takes a frame; throws when it makes no sense. */
+	receive(frame: string): void;
+	/** Part of a frame came, its end not yet. */
+	progress(): void;
+	/** The bytes make no sense; nothing after them is read. */
+	refuse(error: unknown): void;
+	closed(): void;
+};
+
+/** An answer of the greatest size that a policy allows, in base64, and its headers fit in. */
+const maxFrameBytes = 4_194_304;
+/** Bytes waiting to be sent above which new calls wait. */
+const highWaterBytes = 1_048_576;
+/** Bytes waiting to be sent above which the reader counts as stuck. */
+const maxWaitingBytes = 33_554_432;
+
+/** JSON texts in length-prefixed frames over one TCP socket. */
+export class FrameChannel implements Disposable {
+	private readonly decoder = new FrameDecoder(maxFrameBytes);
+	private closed = false;
+
+	constructor(private readonly socket: Socket, private readonly handlers: FrameHandlers) {
+		socket.setNoDelay(true);
+		socket.on('data', chunk => {
+			this.read(chunk);
+		});
+		socket.on('error', () => undefined);
+		socket.on('close', () => {
+			this.dispose();
+		});
+	}
+
+	get isClosed(): boolean {
+		return this.closed;
+	}
+
+	/** Whether the other end reads so slowly that it has to be given up. */
+	get isStuck(): boolean {
+		return this.socket.writableLength > maxWaitingBytes;
+	}
+
+	send(payload: unknown): void {
+		if (!this.closed) {
+			this.socket.write(encodeFrame(JSON.stringify(payload)));
+		}
+	}
+
+	/** Resolves when the bytes waiting to be sent are few, or the channel is closed. */
+	async whenWritable(): Promise<void> {
+		while (!this.closed && this.socket.writableLength > highWaterBytes) {
+			const changed = new Deferred<void>();
+			this.socket.once('drain', changed.resolve);
+			this.socket.once('close', changed.resolve);
+			await changed.promise;
+			this.socket.off('drain', changed.resolve);
+			this.socket.off('close', changed.resolve);
+		}
+	}
+
+	/** Lets what was sent go out, then closes. */
+	end(): void {
+		this.socket.end();
+		this.close();
+	}
+
+	dispose(): void {
+		this.socket.destroy();
+		this.close();
+	}
+
+	private close(): void {
+		if (!this.closed) {
+			this.closed = true;
+			this.handlers.closed();
+		}
+	}
+
+	private read(chunk: Uint8Array): void {
+		if (this.closed) {
+			return;
+		}
+
+		let frames = 0;
+		try {
+			for (const frame of this.decoder.push(chunk)) {
+				frames++;
+				this.handlers.receive(frame);
+			}
+		} catch (error) {
+			this.handlers.refuse(error);
+			return;
+		}
+
+		if (frames === 0) {
+			this.handlers.progress();
+		}
+	}
+}
--- a/src/platform/peer/framed-peer-service.ts
+++ b/src/platform/peer/framed-peer-service.ts
@@ -5,7 +5,6 @@
 import {v7 as createUuid} from 'uuid';
 import {type Disposable} from '../../base/disposable.js';
 import {Deferred} from '../../base/deferred.js';
-import {DisposableStore} from '../../base/disposable-store.js';
 import {ErrorKind} from '../../base/error-kind.js';
 import {fromWireError} from '../../base/from-wire-error.js';
 import {KumquatlineError} from '../../base/kumquatline-error.js';
@@ -19,9 +18,14 @@
 import {type PeerMethod} from './peer-method.js';
 import {type PeerCall, type PeerCallOptions, type PeerService} from './peer-service.js';
 
+/** How much longer than its time a call waits for the peer's own word on how it ended. */
+const replyGraceMs = 50;
+const maxIdleMs = 60_000;
+const tidyIntervalMs = 10_000;
+
 /** Calls between nodes over TCP: JSON-RPC in length-prefixed frames, one connection to each peer in use. */
 export class FramedPeerService implements PeerService, Disposable {
-	private readonly connections = new DisposableStore();
+	private readonly connections = new Set<PeerConnection>();
 	private readonly links = new Map<string, PeerLink>();
 	private readonly receiver: CallReceiver;
 	private readonly server = createServer(socket => {
@@ -29,6 +33,7 @@
 	});
 
 	private port: number;
+	private timer: NodeJS.Timeout | undefined;
 
 	constructor(
 		@SettingsService private readonly settingsService: SettingsService,
@@ -50,6 +55,9 @@
 		this.server.listen(this.port, this.settingsService.settings.address);
 		await once(this.server, 'listening');
 		this.port = (this.server.address() as AddressInfo).port;
+		this.timer = setInterval(() => {
+			this.tidy();
+		}, tidyIntervalMs);
 	}
 
 	handle<P, R>(method: PeerMethod<P, R>, handler: (params: P, call: PeerCall) => Promise<R>): Disposable {
@@ -76,7 +84,10 @@
 	dispose(): void {
 		this.server.close();
 		this.receiver.dispose();
-		this.connections.dispose();
+		clearInterval(this.timer);
+		for (const connection of this.connections) {
+			connection.dispose();
+		}
 	}
 
 	private async callSelf(call: LinkCall, options: PeerCallOptions): Promise<unknown> {
@@ -95,7 +106,7 @@
 
 	private async callPeer(peer: PeerAddress, call: LinkCall, options: PeerCallOptions): Promise<unknown> {
 		const link = this.linkTo(peer);
-		return this.untilEnd(call, options, link.call(call), () => {
+		return this.untilEnd(call, {...options, timeoutMs: options.timeoutMs + replyGraceMs}, link.call(call), () => {
 			link.cancel(call);
 		});
 	}
@@ -123,6 +134,21 @@
 		}
 	}
 
+	/** Closes connections that are out of use and forgets runs of peers that nobody calls. */
+	private tidy(): void {
+		for (const connection of this.connections) {
+			if (connection.idleMs > maxIdleMs) {
+				connection.dispose();
+			}
+		}
+
+		for (const [incarnation, link] of this.links) {
+			if (!link.isInUse) {
+				this.links.delete(incarnation);
+			}
+		}
+	}
+
 	private linkTo(peer: PeerAddress): PeerLink {
 		const link = this.links.get(peer.incarnation) ?? new PeerLink(peer, async address => this.dial(address));
 		this.links.set(peer.incarnation, link);
@@ -171,7 +197,7 @@
 		});
 		this.connections.add(connection);
 		connection.onDidClose(() => {
-			this.connections.release(connection);
+			this.connections.delete(connection);
 		});
 		return connection;
 	}
--- a/src/platform/peer/peer-connection.ts
+++ b/src/platform/peer/peer-connection.ts
@@ -1,18 +1,18 @@
+import {randomUUID} from 'node:crypto';
 import {type Socket} from 'node:net';
 import {
 	JSONRPCClient, createJSONRPCErrorResponse, createJSONRPCNotification, createJSONRPCRequest, isJSONRPCRequest, isJSONRPCResponse,
-	JSONRPCErrorCode, type JSONRPCResponse, type JSONRPCServer,
+	JSONRPCErrorCode, type JSONRPCRequest, type JSONRPCResponse, type JSONRPCServer,
 } from 'json-rpc-2.0';
 import {Deferred} from '../../base/deferred.js';
 import {type Disposable} from '../../base/disposable.js';
 import {Emitter} from '../../base/emitter.js';
-import {type Event} from '../../base/event.js';
 import {ErrorKind} from '../../base/error-kind.js';
+import {type Event} from '../../base/event.js';
 import {KumquatlineError} from '../../base/kumquatline-error.js';
 import {type LogService} from '../log/log-service.js';
 import {type MetricsService} from '../metrics/metrics-service.js';
-import {encodeFrame} from './encode-frame.js';
-import {FrameDecoder} from './frame-decoder.js';
+import {FrameChannel} from './frame-channel.js';
 import {type PeerIdentity} from './peer-identity.js';
 import {SilenceWatch} from './silence-watch.js';
 
@@ -25,12 +25,6 @@
 	readonly abandonAfterMs: number;
 };
 
-/** A base64 answer of the greatest size that a policy allows, and its headers, fit in. */
-const maxFrameBytes = 4_194_304;
-/** Bytes waiting to be sent above which new calls wait. */
-const highWaterBytes = 1_048_576;
-/** Bytes waiting to be sent above which the reader counts as stuck. */
-const maxWaitingBytes = 33_554_432;
 const helloMethod = 'hello';
 
 /** JSON-RPC in both directions over one TCP connection. */
@@ -38,35 +32,41 @@
 	private readonly identified = new Deferred<PeerIdentity>();
 	private readonly closeEmitter = new Emitter<void>();
 	private readonly pending = new Map<string, Promise<JSONRPCResponse>>();
-	private readonly decoder = new FrameDecoder(maxFrameBytes);
+	private readonly channel: FrameChannel;
 	private readonly silence: SilenceWatch;
 	private readonly client = new JSONRPCClient(payload => {
-		this.send(payload);
+		this.channel.send(payload);
 	});
 
-	private probes = 0;
-	private closed = false;
+	private answering = 0;
+	private usedAtMs = performance.now();
 	private identity: PeerIdentity | undefined;
 
-	constructor(private readonly socket: Socket, private readonly options: PeerConnectionOptions) {
+	constructor(socket: Socket, private readonly options: PeerConnectionOptions) {
 		this.silence = new SilenceWatch(options.probeAfterMs, options.abandonAfterMs, {
 			probe: () => {
-				this.probe();
+				void this.sendRequest(`ping/${randomUUID()}`, 'ping', undefined);
 			},
 			abandon: () => {
 				this.abandon();
 			},
 		});
-		void ignoreFailure(this.identified.promise);
-		socket.setNoDelay(true);
-		socket.on('data', chunk => {
-			this.receive(chunk);
-		});
-		socket.on('error', () => undefined);
-		socket.on('close', () => {
-			this.dispose();
+		this.channel = new FrameChannel(socket, {
+			receive: frame => {
+				this.receive(JSON.parse(frame));
+			},
+			progress: () => {
+				this.silence.noteReceived();
+			},
+			refuse: error => {
+				this.refuse(error);
+			},
+			closed: () => {
+				this.close();
+			},
 		});
-		this.send(createJSONRPCNotification(helloMethod, options.self));
+		void ignoreFailure(this.identified.promise);
+		this.channel.send(createJSONRPCNotification(helloMethod, options.self));
 	}
 
 	/** Identity of the other end once it has said hello; rejected when the connection closes before. */
@@ -83,89 +83,55 @@
 	}
 
 	get isClosed(): boolean {
-		return this.closed;
+		return this.channel.isClosed;
 	}
 
-	/** Resolves when the bytes waiting to be sent are few, or the connection is closed. */
+	/** How long nothing was asked or answered over the connection. */
+	get idleMs(): number {
+		return this.pending.size + this.answering > 0 ? 0 : performance.now() - this.usedAtMs;
+	}
+
+	/** Resolves when there is room for another call, or the connection is closed. */
 	async whenWritable(): Promise<void> {
-		while (!this.closed && this.socket.writableLength > highWaterBytes) {
-			const drained = new Deferred<void>();
-			this.socket.once('drain', drained.resolve);
-			const subscription = this.onDidClose(drained.resolve);
-			await drained.promise;
-			subscription.dispose();
-		}
+		return this.channel.whenWritable();
 	}
 
 	/** Sends a request; undefined when the connection is lost before the response. */
 	async request(id: string, method: string, params: unknown): Promise<JSONRPCResponse | undefined> {
-		if (this.closed) {
+		if (this.isClosed) {
 			return undefined;
 		}
 
 		const response = await (this.pending.get(id) ?? this.sendRequest(id, method, params));
-		return this.closed && !isAnswered(response) ? undefined : response;
+		return this.isClosed && !isAnswered(response) ? undefined : response;
 	}
 
 	notify(method: string, params: unknown): void {
-		this.send(createJSONRPCNotification(method, params));
+		this.channel.send(createJSONRPCNotification(method, params));
 	}
 
 	dispose(): void {
-		if (this.closed) {
-			return;
-		}
-
-		this.closed = true;
-		this.silence.dispose();
-		this.socket.destroy();
-		this.identified.reject(new KumquatlineError(ErrorKind.PeerUnreachable, 'the connection closed before the hello', {started: false}));
-		this.client.rejectAllPendingRequests('connection closed');
-		this.closeEmitter.fire();
-		this.closeEmitter.dispose();
+		this.channel.dispose();
 	}
 
 	private async sendRequest(id: string, method: string, params: unknown): Promise<JSONRPCResponse> {
 		const response = Promise.resolve(this.client.requestAdvanced(createJSONRPCRequest(id, method, params)));
 		this.pending.set(id, response);
-		this.silence.begin(this.pending.size);
+		this.silence.begin();
 		try {
 			return await response;
 		} finally {
 			this.pending.delete(id);
+			this.usedAtMs = performance.now();
 			this.silence.end(this.pending.size);
 		}
 	}
 
-	private send(payload: unknown): void {
-		if (this.closed) {
-			return;
-		}
-
-		this.socket.write(encodeFrame(JSON.stringify(payload)));
-		if (this.socket.writableLength > maxWaitingBytes) {
-			this.options.metrics.count('peer.stuck_readers');
-			this.dispose();
-		}
-	}
-
-	private receive(chunk: Uint8Array): void {
-		this.silence.noteReceived();
-		try {
-			for (const frame of this.decoder.push(chunk)) {
-				this.receiveFrame(frame);
-			}
-		} catch (error) {
-			this.refuse(error);
-		}
-	}
-
-	private receiveFrame(frame: string): void {
-		if (this.closed) {
+	private receive(payload: unknown): void {
+		if (this.isClosed) {
 			return;
 		}
 
-		const payload: unknown = JSON.parse(frame);
 		if (isJSONRPCResponse(payload)) {
 			this.receiveResponse(payload);
 			return;
@@ -175,6 +141,7 @@
 			throw new KumquatlineError(ErrorKind.PeerProtocol, 'frame is neither a request nor a response');
 		}
 
+		this.silence.noteReceived();
 		if (payload.method === helloMethod) {
 			this.receiveHello(payload.params as PeerIdentity);
 			return;
@@ -187,12 +154,14 @@
 		void this.answer(payload);
 	}
 
+	/** A response that nobody waits for is no sign of life either: it may be meant for another connection. */
 	private receiveResponse(response: JSONRPCResponse): void {
 		if (!this.pending.has(String(response.id))) {
 			this.options.metrics.count('peer.unknown_replies');
 			return;
 		}
 
+		this.silence.noteReceived();
 		this.client.receive(response);
 	}
 
@@ -201,20 +170,27 @@
 			throw new KumquatlineError(ErrorKind.PeerProtocol, 'malformed hello');
 		}
 
+		if (this.identity && this.identity.incarnation !== hello.incarnation) {
+			throw new KumquatlineError(ErrorKind.PeerProtocol, 'a second hello names another run of a node');
+		}
+
 		this.identity = {nodeId: hello.nodeId, incarnation: hello.incarnation};
 		this.identified.resolve(this.identity);
 	}
 
-	private async answer(request: Parameters<JSONRPCServer['receive']>[0]): Promise<void> {
+	private async answer(request: JSONRPCRequest): Promise<void> {
+		this.answering++;
 		const response = await this.options.server.receive(request, this);
+		this.answering--;
+		this.usedAtMs = performance.now();
 		if (response) {
-			this.send(response);
+			this.channel.send(response);
 		}
-	}
 
-	private probe(): void {
-		this.probes++;
-		void this.sendRequest(`ping/${this.probes}`, 'ping', undefined);
+		if (this.channel.isStuck) {
+			this.options.metrics.count('peer.stuck_readers');
+			this.dispose();
+		}
 	}
 
 	private abandon(): void {
@@ -229,9 +205,16 @@
 		this.options.metrics.count('peer.protocol_errors');
 		this.options.log.warn('peer connection broke the protocol', {peer: this.identity?.nodeId, reason: message});
 
-		this.send(createJSONRPCErrorResponse(null, JSONRPCErrorCode.ParseError, message));
-		this.socket.end();
-		this.dispose();
+		this.channel.send(createJSONRPCErrorResponse(null, JSONRPCErrorCode.ParseError, message));
+		this.channel.end();
+	}
+
+	private close(): void {
+		this.silence.dispose();
+		this.identified.reject(new KumquatlineError(ErrorKind.PeerUnreachable, 'the connection closed before the hello', {started: false}));
+		this.client.rejectAllPendingRequests('connection closed');
+		this.closeEmitter.fire();
+		this.closeEmitter.dispose();
 	}
 }
 
--- a/src/platform/peer/peer-link.ts
+++ b/src/platform/peer/peer-link.ts
@@ -23,11 +23,17 @@
 
 /** The way to one run of a peer: at most one connection, replaced when it is lost. */
 export class PeerLink {
+	private callers = 0;
 	private connecting: Promise<PeerConnection> | undefined;
 	private connection: PeerConnection | undefined;
 
 	constructor(readonly peer: PeerAddress, private readonly dial: (peer: PeerAddress) => Promise<PeerConnection>) {}
 
+	/** Whether a call is on its way or a connection is open. */
+	get isInUse(): boolean {
+		return this.callers > 0 || this.connecting !== undefined || this.isOpen();
+	}
+
 	/** Uses a connection that the peer has opened, if there is none. */
 	adopt(connection: PeerConnection): void {
 		if (!this.connecting && !this.isOpen()) {
@@ -35,8 +41,25 @@
 		}
 	}
 
-	/** Sends the call, and sends it again under its id when its connection is lost. */
+	/** Carries the call to its outcome. */
 	async call(call: LinkCall): Promise<unknown> {
+		this.callers++;
+		try {
+			return await this.send(call);
+		} finally {
+			this.callers--;
+		}
+	}
+
+	/** Tells the peer that nobody waits for a call any more. */
+	cancel(call: LinkCall): void {
+		if (call.sent) {
+			this.connection?.notify('cancel', {id: call.id, deadlineAtMs: call.deadlineAtMs});
+		}
+	}
+
+	/** Sends the call, and sends it again under its id when its connection is lost. */
+	private async send(call: LinkCall): Promise<unknown> {
 		for (let sends = 0; sends <= maxResends && !call.ended; sends++) {
 			const connection = await this.connect(call);
 			await connection.whenWritable();
@@ -62,13 +85,6 @@
 		throw this.lost(call, 'its connections were lost');
 	}
 
-	/** Tells the peer that nobody waits for a call any more. */
-	cancel(call: LinkCall): void {
-		if (call.sent) {
-			this.connection?.notify('cancel', {id: call.id, deadlineAtMs: call.deadlineAtMs});
-		}
-	}
-
 	private isOpen(): boolean {
 		return this.connection !== undefined && !this.connection.isClosed;
 	}
--- a/src/platform/peer/silence-watch.ts
+++ b/src/platform/peer/silence-watch.ts
@@ -19,15 +19,15 @@
 		private readonly actions: SilenceActions,
 	) {}
 
-	begin(outstanding: number): void {
-		if (outstanding > 1 || this.timer) {
-			return;
+	/** Something became outstanding. */
+	begin(): void {
+		if (!this.timer) {
+			this.noteReceived();
+			this.arm(this.probeAfterMs);
 		}
-
-		this.noteReceived();
-		this.arm(this.probeAfterMs);
 	}
 
+	/** Something is outstanding no more; so many things still are. */
 	end(outstanding: number): void {
 		if (outstanding === 0) {
 			this.dispose();
@@ -51,12 +51,12 @@
 	}
 
 	private check(): void {
-		const quietMs = performance.now() - this.quietSinceMs;
 		if (this.probed) {
 			this.actions.abandon();
 			return;
 		}
 
+		const quietMs = performance.now() - this.quietSinceMs;
 		if (quietMs < this.probeAfterMs) {
 			this.arm(this.probeAfterMs - quietMs);
 			return;
--- a/src/platform/peer/test/peer-fixture.ts
+++ b/src/platform/peer/test/peer-fixture.ts
@@ -41,9 +41,9 @@
 }
 
 /** A kernel with a peer service that listens on loopback. */
-export async function startPeer(nodeId: string, incarnation = createUuid()) {
+export async function startPeer(nodeId: string, incarnation = createUuid(), peerPort = 0) {
 	const kernel = new Kernel()
-		.registerInstance(SettingsService, {settings: testSettings(nodeId), incarnation})
+		.registerInstance(SettingsService, {settings: {...testSettings(nodeId), peerPort}, incarnation})
 		.registerInstance(LogService, quietLog)
 		.register(MetricsService, StatsdMetricsService)
 		.register(PeerService, FramedPeerService);
--- /dev/null
+++ b/standins/relay/relayed-connection.ts
@@ -0,0 +1,68 @@
+import {connect, type Socket} from 'node:net';
+
+/** One client's connection through a relay, with what is done to its bytes. */
+export class RelayedConnection {
+	readonly server: Socket;
+	delayMs = 0;
+	swallows = false;
+	duplicatesNext = false;
+	/** Bytes towards the client that still pass; undefined for no bound. */
+	cutAfterBytes: number | undefined;
+	/** Where the server's bytes go. */
+	answerTo: RelayedConnection = this;
+
+	constructor(readonly client: Socket, targetPort: number, onClose: () => void) {
+		this.server = connect({host: '127.0.0.1', port: targetPort});
+		this.client.setNoDelay(true);
+		this.server.setNoDelay(true);
+		this.client.on('data', chunk => {
+			this.pass(chunk, this.server);
+		});
+		this.server.on('data', chunk => {
+			this.answer(chunk);
+		});
+		for (const socket of [this.client, this.server]) {
+			socket.on('error', () => undefined);
+			socket.on('close', () => {
+				this.dispose();
+				onClose();
+			});
+		}
+	}
+
+	dispose(): void {
+		this.client.destroy();
+		this.server.destroy();
+	}
+
+	private answer(chunk: Uint8Array): void {
+		const {cutAfterBytes} = this;
+		if (cutAfterBytes !== undefined && chunk.length >= cutAfterBytes) {
+			this.pass(chunk.subarray(0, cutAfterBytes), this.answerTo.client);
+			this.client.destroySoon();
+			return;
+		}
+
+		this.cutAfterBytes = cutAfterBytes === undefined ? undefined : cutAfterBytes - chunk.length;
+		this.pass(chunk, this.answerTo.client);
+		if (this.duplicatesNext) {
+			this.duplicatesNext = false;
+			this.pass(chunk, this.answerTo.client);
+		}
+	}
+
+	private pass(chunk: Uint8Array, destination: Socket): void {
+		if (this.swallows) {
+			return;
+		}
+
+		if (this.delayMs === 0) {
+			destination.write(chunk);
+			return;
+		}
+
+		setTimeout(() => {
+			destination.write(chunk);
+		}, this.delayMs);
+	}
+}
--- /dev/null
+++ b/standins/relay/test/silent-connections.test.ts
@@ -0,0 +1,103 @@
+import test from 'ava';
+import {Deferred} from '../../../src/base/deferred.js';
+import {ErrorKind} from '../../../src/base/error-kind.js';
+import {PeerMethod} from '../../../src/platform/peer/peer-method.js';
+import {startPeer} from '../../../src/platform/peer/test/peer-fixture.js';
+import {RelayFault} from '../relay-fault.js';
+import {TcpRelay} from '../tcp-relay.js';
+
+const echo = new PeerMethod<{text: string}, {text: string}>('echo');
+const timeoutMs = 20_000;
+
+/** Two peers with a relay between them, and a gate before each result. */
+async function startRelayedPeers() {
+	const [left, right] = [await startPeer('left'), await startPeer('right')];
+	const relay = new TcpRelay(right.peers.self.peerPort);
+	await relay.listen();
+	const gate = new Deferred<void>();
+	const began = new Deferred<void>();
+	const runs: string[] = [];
+	right.peers.handle(echo, async ({text}) => {
+		runs.push(text);
+		began.resolve();
+		await gate.promise;
+		return {text};
+	});
+	return {
+		left,
+		right,
+		relay,
+		gate,
+		began,
+		runs,
+		address: {...right.peers.self, peerPort: relay.port},
+		stop() {
+			left.kernel.dispose();
+			right.kernel.dispose();
+			relay.dispose();
+		},
+	};
+}
+
+test('a call over a connection that goes silent ends over a new one and runs once', async t => {
+	const {left, relay, gate, began, runs, address, stop} = await startRelayedPeers();
+	const call = left.peers.call(address, echo, {text: 'a'}, {timeoutMs});
+	await began.promise;
+	relay.inject(RelayFault.Swallow, 0);
+	gate.resolve();
+	t.deepEqual(await call, {text: 'a'});
+	t.deepEqual(runs, ['a']);
+	t.is(left.metrics.snapshot().counters['peer.silent_connections'], 1);
+	stop();
+});
+
+test('a call whose request was swallowed is sent again', async t => {
+	const {left, relay, gate, runs, address, stop} = await startRelayedPeers();
+	gate.resolve();
+	await left.peers.call(address, echo, {text: 'first'}, {timeoutMs});
+	relay.inject(RelayFault.Swallow, 0);
+	t.deepEqual(await left.peers.call(address, echo, {text: 'second'}, {timeoutMs}), {text: 'second'});
+	t.deepEqual(runs, ['first', 'second']);
+	stop();
+});
+
+test('a connection with a long call stays while probes are answered', async t => {
+	const {left, gate, began, address, stop} = await startRelayedPeers();
+	const call = left.peers.call(address, echo, {text: 'slow'}, {timeoutMs});
+	await began.promise;
+	setTimeout(gate.resolve, 500);
+	t.deepEqual(await call, {text: 'slow'});
+	t.is(left.metrics.snapshot().counters['peer.silent_connections'] ?? 0, 0);
+	stop();
+});
+
+test('many calls over a connection that breaks mid-frame all end and run once', async t => {
+	const {left, relay, gate, began, runs, address, stop} = await startRelayedPeers();
+	const texts = Array.from({length: 200}, (_, index) => `${index}`.repeat(100));
+	const calls = texts.map(async text => left.peers.call(address, echo, {text}, {timeoutMs}));
+	await began.promise;
+	relay.inject(RelayFault.Cut, 1001);
+	gate.resolve();
+	t.deepEqual(await Promise.all(calls), texts.map(text => ({text})));
+	t.deepEqual(new Set(runs).size, runs.length);
+	stop();
+});
+
+test('a call that was sent is lost, not unreachable, when its peer is replaced by another run', async t => {
+	const {left, right, gate, began, runs, stop} = await startRelayedPeers();
+	const call = left.peers.call(right.peers.self, echo, {text: 'a'}, {timeoutMs});
+	const failure = t.throwsAsync(call);
+	await began.promise;
+	const {peerPort} = right.peers.self;
+	right.kernel.dispose();
+	const next = await startPeer('right', 'next', peerPort);
+	next.peers.handle(echo, async ({text}) => {
+		runs.push(text);
+		return {text};
+	});
+	t.like(await failure, {kind: ErrorKind.PeerLost, started: undefined});
+	t.deepEqual(runs, ['a']);
+	gate.resolve();
+	next.kernel.dispose();
+	stop();
+});
