Test the owner's decisions under a paused clock, and add the naive counterparts

Excluded: a frozen process is one whose messages stop both ways; its own timers go on, unlike under SIGSTOP.

--- /dev/null
+++ b/prove/naive/unlimited-retry-service.ts
@@ -0,0 +1,16 @@
+import {type RetryService} from '../../src/services/retries/retry-service.js';
+
+/** Naive counterpart of the retry total: grants everything. */
+export class UnlimitedRetryService implements RetryService {
+	noteFresh(): void {
+		// Nothing is counted.
+	}
+
+	async grant(): Promise<boolean> {
+		return true;
+	}
+
+	async admitAttempt(): Promise<boolean> {
+		return true;
+	}
+}
--- a/src/services/ownership/sharded-ownership-service.ts
+++ b/src/services/ownership/sharded-ownership-service.ts
@@ -36,12 +36,13 @@
 	private readonly holdings: ShardHoldings;
 	private readonly keeper: ShardKeeper;
 	private readonly owner: RequestOwner;
+	private readonly lifetime = new AbortController();
 	private keeping: Promise<void> | undefined;
 
 	constructor(
 		@SettingsService settings: SettingsService,
 		@PolicyService policy: PolicyService,
-		@LeaseService lease: LeaseService,
+		@LeaseService private readonly lease: LeaseService,
 		@MembershipService private readonly membership: MembershipService,
 		@PeerService private readonly peers: PeerService,
 		@StoreService private readonly store: StoreService,
@@ -65,7 +66,7 @@
 		});
 	}
 
-	async start(signal: AbortSignal): Promise<void> {
+	async start(): Promise<void> {
 		this.directory.listen();
 		this.disposables.add(this.directory.onDidChange(table => {
 			this.follow(table);
@@ -79,13 +80,16 @@
 		this.disposables.add(this.membership.onDidChange(() => {
 			void this.keep();
 		}));
+		this.disposables.add(this.lease.onDidGrant(() => {
+			void this.keep();
+		}));
 		const timer = setInterval(() => {
 			void this.keep();
 		}, keepIntervalMs);
 		this.disposables.add(toDisposable(() => {
 			clearInterval(timer);
 		}));
-		await this.keep(signal);
+		await this.keep();
 	}
 
 	async run(request: CallRequest, signal: AbortSignal): Promise<CallAnswer> {
@@ -123,6 +127,7 @@
 	}
 
 	dispose(): void {
+		this.lifetime.abort();
 		this.disposables.dispose();
 	}
 
@@ -135,14 +140,14 @@
 	}
 
 	/** One round of keeping at a time. */
-	private async keep(signal: AbortSignal = AbortSignal.timeout(keepIntervalMs)): Promise<void> {
-		this.keeping ??= this.keepOnce(signal);
+	private async keep(): Promise<void> {
+		this.keeping ??= this.keepOnce();
 		await this.keeping;
 	}
 
-	private async keepOnce(signal: AbortSignal): Promise<void> {
+	private async keepOnce(): Promise<void> {
 		try {
-			await this.keeper.keep(signal);
+			await this.keeper.keep(this.lifetime.signal);
 		} finally {
 			this.keeping = undefined;
 		}
--- /dev/null
+++ b/src/services/ownership/test/mesh/mesh-membership-service.ts
@@ -0,0 +1,92 @@
+import {Emitter} from '../../../../base/emitter.js';
+import {type PeerService} from '../../../../platform/peer/peer-service.js';
+import {type StoreService} from '../../../../platform/store/store-service.js';
+import {type LeaseService} from '../../../membership/lease-service.js';
+import {MemberState} from '../../../membership/member-state.js';
+import {type Member} from '../../../membership/member.js';
+import {type MembershipService} from '../../../membership/membership-service.js';
+
+const prefix = '/kumquatline/nodes/';
+
+/** Membership of a mesh in one process: states come from the mesh as gossip would tell them, registrations from the store. */
+export class MeshMembershipService implements MembershipService {
+	private readonly changes = new Emitter<Member>();
+	private readonly known = new Map<string, Member>();
+
+	constructor(
+		readonly service: string,
+		private readonly peers: PeerService,
+		private readonly store: StoreService,
+		private readonly lease: LeaseService,
+		private readonly slots = 10,
+	) {}
+
+	get self(): Member {
+		return this.known.get(this.peers.self.nodeId) ?? this.record(MemberState.Serving);
+	}
+
+	get members(): readonly Member[] {
+		return [...this.known.values()];
+	}
+
+	get onDidChange() {
+		return this.changes.event;
+	}
+
+	find(nodeId: string): Member | undefined {
+		return this.known.get(nodeId);
+	}
+
+	upstreams(service: string): readonly Member[] {
+		return this.members.filter(member => member.service === service && member.state === MemberState.Serving);
+	}
+
+	async start(signal: AbortSignal): Promise<void> {
+		const {self} = this;
+		this.lease.setRegistration({
+			key: prefix + self.nodeId,
+			value: self.incarnation,
+			mayReplace: () => true,
+		});
+		await this.lease.start(signal);
+	}
+
+	announce(): void {
+		// The mesh's nodes serve from their start.
+	}
+
+	drain(): void {
+		this.hear(this.record(MemberState.Draining));
+	}
+
+	async leave(signal: AbortSignal): Promise<void> {
+		await this.lease.revoke(signal);
+	}
+
+	async isGone(nodeId: string, incarnation: string, signal: AbortSignal): Promise<boolean> {
+		const entry = await this.store.get(prefix + nodeId, signal);
+		return entry?.value !== incarnation;
+	}
+
+	/** Takes over what gossip would have told. */
+	hear(member: Member): void {
+		this.known.set(member.nodeId, member);
+		this.changes.fire(member);
+	}
+
+	record(state: MemberState): Member {
+		return {
+			...this.peers.self,
+			availabilityZone: 'north',
+			region: 'default',
+			gossipPort: 1,
+			callerPort: 1,
+			state,
+			service: this.service,
+			slots: this.slots,
+			connections: 100,
+			policyVersion: 1,
+			revision: 1,
+		};
+	}
+}
--- /dev/null
+++ b/src/services/ownership/test/mesh/mesh-peer-service.ts
@@ -0,0 +1,119 @@
+import {type Disposable} from '../../../../base/disposable.js';
+import {ErrorKind} from '../../../../base/error-kind.js';
+import {KumquatlineError} from '../../../../base/kumquatline-error.js';
+import {toDisposable} from '../../../../base/to-disposable.js';
+import {type PeerAddress} from '../../../../platform/peer/peer-address.js';
+import {type PeerMethod} from '../../../../platform/peer/peer-method.js';
+import {type PeerCall, type PeerCallOptions, type PeerService} from '../../../../platform/peer/peer-service.js';
+import {type MeshConditions} from './mesh-conditions.js';
+import {type MeshProcess} from './mesh-process.js';
+
+type Handler = (params: unknown, call: PeerCall) => Promise<unknown>;
+
+const noticeMs = 100;
+
+/** Peers of one mesh by node id. */
+export type MeshPeers = Map<string, MeshPeerService>;
+
+/** Calls between the nodes of a mesh in one process: messages take time, wait for frozen nodes and get lost. */
+export class MeshPeerService implements PeerService {
+	readonly self: PeerAddress;
+	private readonly handlers = new Map<string, Handler>();
+	private callCount = 0;
+
+	constructor(
+		private readonly peers: MeshPeers,
+		private readonly conditions: MeshConditions,
+		readonly process: MeshProcess,
+	) {
+		const {nodeId, incarnation} = process;
+		this.self = {
+			nodeId, incarnation, address: '127.0.0.1', peerPort: 1,
+		};
+	}
+
+	async listen(): Promise<void> {
+		this.peers.set(this.self.nodeId, this);
+	}
+
+	handle<P, R>(method: PeerMethod<P, R>, handler: (params: P, call: PeerCall) => Promise<R>): Disposable {
+		this.handlers.set(method.name, handler as Handler);
+		return toDisposable(() => {
+			this.handlers.delete(method.name);
+		});
+	}
+
+	async call<P, R>(peer: PeerAddress, method: PeerMethod<P, R>, params: P, options: PeerCallOptions): Promise<R> {
+		const controller = new AbortController();
+		const timer = setTimeout(() => {
+			controller.abort(ErrorKind.DeadlineExceeded);
+		}, options.timeoutMs);
+		const leave = () => {
+			controller.abort(ErrorKind.CallerGone);
+		};
+
+		options.signal?.addEventListener('abort', leave);
+		const callId = options.callId ?? `${this.self.nodeId}-${++this.callCount}`;
+		const ended = new Promise<never>((_resolve, reject) => {
+			controller.signal.addEventListener('abort', () => {
+				reject(new KumquatlineError(controller.signal.reason as ErrorKind, 'the call ended before its result'));
+			});
+		});
+		try {
+			return await Promise.race([this.exchange(peer, method.name, params, {from: this.self, callId, signal: controller.signal}), ended]) as R;
+		} finally {
+			clearTimeout(timer);
+			options.signal?.removeEventListener('abort', leave);
+		}
+	}
+
+	private async exchange(peer: PeerAddress, method: string, params: unknown, call: PeerCall): Promise<unknown> {
+		await this.process.running();
+		if (peer.nodeId === this.self.nodeId && peer.incarnation === this.self.incarnation) {
+			return this.handlers.get(method)!(params, call);
+		}
+
+		await this.conditions.transit();
+		const target = this.peers.get(peer.nodeId);
+		if (!target || target.process.isKilled || this.conditions.isCut(peer.nodeId, this.self.nodeId)) {
+			throw await this.failure(ErrorKind.PeerUnreachable);
+		}
+
+		if (target.self.incarnation !== peer.incarnation) {
+			throw await this.failure(ErrorKind.PeerChanged);
+		}
+
+		const lost = this.lossOf(target.process);
+		const result = await Promise.race([target.receive(method, structuredClone(params), call), lost]);
+		await Promise.race([target.process.running(), lost]);
+		await this.conditions.transit();
+		if (this.conditions.isCut(peer.nodeId, this.self.nodeId) || this.conditions.chance(this.conditions.lostAnswerShare)) {
+			throw await this.failure(ErrorKind.PeerLost);
+		}
+
+		await this.process.running();
+		return structuredClone(result);
+	}
+
+	private async receive(method: string, params: unknown, call: PeerCall): Promise<unknown> {
+		await this.process.running();
+		const handler = this.handlers.get(method);
+		if (!handler) {
+			throw new KumquatlineError(ErrorKind.PeerProtocol, `no method ${method}`);
+		}
+
+		return handler(params, call);
+	}
+
+	/** Rejects when the peer's process is killed. */
+	private async lossOf(process: MeshProcess): Promise<never> {
+		await process.killed.promise;
+		throw await this.failure(ErrorKind.PeerLost);
+	}
+
+	private async failure(kind: ErrorKind): Promise<KumquatlineError> {
+		await this.conditions.pause(noticeMs);
+		await this.process.running();
+		return new KumquatlineError(kind, 'the peer can not be heard');
+	}
+}
--- /dev/null
+++ b/src/services/ownership/test/mesh/mesh-process.ts
@@ -0,0 +1,48 @@
+import {Deferred} from '../../../../base/deferred.js';
+
+/** One run of a node as faults see it: it can be killed, frozen, and cut from the store. */
+export class MeshProcess {
+	isStoreCut = false;
+	/** Resolved when the run is killed. */
+	readonly killed = new Deferred<void>();
+	private dead = false;
+	private thawed: Deferred<void> | undefined;
+
+	constructor(readonly nodeId: string, readonly incarnation: string) {}
+
+	get isKilled(): boolean {
+		return this.dead;
+	}
+
+	get isFrozen(): boolean {
+		return this.thawed !== undefined;
+	}
+
+	kill(): void {
+		this.dead = true;
+		this.killed.resolve();
+		this.thaw();
+	}
+
+	freeze(): void {
+		this.thawed ??= new Deferred<void>();
+	}
+
+	thaw(): void {
+		this.thawed?.resolve();
+		this.thawed = undefined;
+	}
+
+	/** Passes when the process can go on; never when it was killed. */
+	async running(): Promise<void> {
+		while (this.thawed) {
+			await this.thawed.promise;
+		}
+
+		if (this.dead) {
+			await new Promise<never>(() => {
+				// A killed process goes no further.
+			});
+		}
+	}
+}
--- /dev/null
+++ b/src/services/ownership/test/mesh/mesh-store-service.ts
@@ -0,0 +1,141 @@
+import {Emitter} from '../../../../base/emitter.js';
+import {ErrorKind} from '../../../../base/error-kind.js';
+import {KumquatlineError} from '../../../../base/kumquatline-error.js';
+import {type Disposable} from '../../../../base/disposable.js';
+import {type StoreEntry} from '../../../../platform/store/store-entry.js';
+import {
+	type StoreChange, type StoreListing, type StoreService, type SwapResult,
+} from '../../../../platform/store/store-service.js';
+import {type MemoryStore} from './memory-store.js';
+import {type MeshConditions} from './mesh-conditions.js';
+import {type MeshProcess} from './mesh-process.js';
+
+const timeoutMs = 300;
+const relistMs = 200;
+
+/** One node's client of the store in memory, with delays, outages, cuts and lost answers. */
+export class MeshStoreService implements StoreService {
+	reachable = true;
+	private readonly reachEmitter = new Emitter<boolean>();
+
+	constructor(
+		private readonly store: MemoryStore,
+		private readonly conditions: MeshConditions,
+		private readonly process: MeshProcess,
+	) {}
+
+	get onDidChangeReach() {
+		return this.reachEmitter.event;
+	}
+
+	async get(key: string): Promise<StoreEntry | undefined> {
+		return this.exchange(() => this.store.get(key));
+	}
+
+	async getNewer(key: string, modRevision: number): Promise<StoreEntry | undefined> {
+		const entry = await this.get(key);
+		return entry && entry.modRevision > modRevision ? entry : undefined;
+	}
+
+	async list(prefix: string): Promise<StoreListing> {
+		return this.exchange(() => ({entries: this.store.list(prefix), revision: this.store.currentRevision}));
+	}
+
+	async compareAndSwap(key: string, expectedModRevision: number, value: string, leaseId?: string): Promise<SwapResult> {
+		return this.exchange(() => this.store.compareAndSwap(key, expectedModRevision, value, leaseId));
+	}
+
+	async compareAndDelete(key: string, expectedModRevision: number): Promise<boolean> {
+		return this.exchange(() => this.store.compareAndDelete(key, expectedModRevision));
+	}
+
+	async grantLease(ttlMs: number): Promise<string> {
+		return this.exchange(() => this.store.grantLease(ttlMs));
+	}
+
+	async renewLease(leaseId: string): Promise<boolean> {
+		return this.exchange(() => this.store.renewLease(leaseId));
+	}
+
+	async revokeLease(leaseId: string): Promise<void> {
+		await this.exchange(() => {
+			this.store.revokeLease(leaseId);
+		});
+	}
+
+	watch(prefix: string, listener: (change: StoreChange) => void): Disposable {
+		const watching = {isOver: false};
+		void this.follow(prefix, listener, watching);
+		return {
+			dispose() {
+				watching.isOver = true;
+			},
+		};
+	}
+
+	/** Tells changes as they come, and lists anew after each time in which none could be told. */
+	private async follow(prefix: string, listener: (change: StoreChange) => void, watching: {isOver: boolean}): Promise<void> {
+		let isMissing = true;
+		const stop = this.store.listen(async change => {
+			if (!change.key.startsWith(prefix)) {
+				return;
+			}
+
+			await this.conditions.transit();
+			if (this.isCutOff || this.process.isFrozen || this.process.isKilled) {
+				isMissing = true;
+			} else if (!watching.isOver) {
+				listener(change);
+			}
+		});
+		while (!watching.isOver && !this.process.isKilled) {
+			if (isMissing && !this.isCutOff) {
+				await this.process.running();
+				isMissing = false;
+				for (const entry of this.store.list(prefix)) {
+					listener({key: entry.key, entry, revision: entry.modRevision});
+				}
+			}
+
+			await this.conditions.pause(relistMs);
+		}
+
+		stop();
+	}
+
+	private get isCutOff(): boolean {
+		return this.store.isDown || this.process.isStoreCut;
+	}
+
+	private async exchange<T>(work: () => T): Promise<T> {
+		await this.process.running();
+		await this.conditions.transit();
+		if (this.isCutOff) {
+			await this.fail();
+		}
+
+		const result = work();
+		if (this.conditions.chance(this.conditions.lostStoreAnswerShare)) {
+			await this.fail();
+		}
+
+		await this.conditions.transit();
+		await this.process.running();
+		this.note(true);
+		return result;
+	}
+
+	private async fail(): Promise<never> {
+		await this.conditions.pause(timeoutMs);
+		await this.process.running();
+		this.note(false);
+		throw new KumquatlineError(ErrorKind.StoreUnavailable, 'the store did not answer');
+	}
+
+	private note(isReachable: boolean): void {
+		if (this.reachable !== isReachable) {
+			this.reachable = isReachable;
+			this.reachEmitter.fire(isReachable);
+		}
+	}
+}
--- /dev/null
+++ b/src/services/ownership/test/mesh/with-paused-clock.ts
@@ -0,0 +1,14 @@
+import {install, type Clock} from '@sinonjs/fake-timers';
+
+/** Wall clock at which paused clocks begin, in milliseconds since 1970. */
+export const pausedClockStartMs = 1_800_000_000_000;
+
+/** Runs a body under a clock that moves only when the body moves it. */
+export async function withPausedClock(body: (clock: Clock) => Promise<void>): Promise<void> {
+	const clock = install({now: pausedClockStartMs, toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'Date', 'performance']});
+	try {
+		await body(clock);
+	} finally {
+		clock.uninstall();
+	}
+}
