Compose the node program from its services

Change: a kernel with every service of a node, a run of a node that starts them in order and stops without cutting work, the program with its exit statuses.

--- /dev/null
+++ b/src/programs/node/create-kernel.ts
@@ -0,0 +1,58 @@
+import {Kernel} from '../../platform/kernel/kernel.js';
+import {LogService} from '../../platform/log/log-service.js';
+import {WinstonLogService} from '../../platform/log/winston-log-service.js';
+import {MetricsService} from '../../platform/metrics/metrics-service.js';
+import {StatsdMetricsService} from '../../platform/metrics/statsd-metrics-service.js';
+import {FramedPeerService} from '../../platform/peer/framed-peer-service.js';
+import {PeerService} from '../../platform/peer/peer-service.js';
+import {FixedSettingsService} from '../../platform/settings/fixed-settings-service.js';
+import {type NodeSettings} from '../../platform/settings/node-settings.js';
+import {SettingsService} from '../../platform/settings/settings-service.js';
+import {EtcdStoreService} from '../../platform/store/etcd-store-service.js';
+import {StoreService} from '../../platform/store/store-service.js';
+import {AdmissionService} from '../../services/admission/admission-service.js';
+import {QueueAdmissionService} from '../../services/admission/queue-admission-service.js';
+import {BackendService} from '../../services/backend/backend-service.js';
+import {LoopbackBackendService} from '../../services/backend/loopback-backend-service.js';
+import {CallerService} from '../../services/callers/caller-service.js';
+import {HttpCallerService} from '../../services/callers/http-caller-service.js';
+import {StatusReport} from '../../services/callers/status-report.js';
+import {StatusService} from '../../services/callers/status-service.js';
+import {CallService} from '../../services/calls/call-service.js';
+import {GraphCallService} from '../../services/calls/graph-call-service.js';
+import {RoutedUpstreamService} from '../../services/calls/routed-upstream-service.js';
+import {UpstreamService} from '../../services/calls/upstream-service.js';
+import {GossipMembershipService} from '../../services/membership/gossip-membership-service.js';
+import {LeaseService} from '../../services/membership/lease-service.js';
+import {MembershipService} from '../../services/membership/membership-service.js';
+import {StoreLeaseService} from '../../services/membership/store-lease-service.js';
+import {OwnershipService} from '../../services/ownership/ownership-service.js';
+import {ShardedOwnershipService} from '../../services/ownership/sharded-ownership-service.js';
+import {PolicyService} from '../../services/policy/policy-service.js';
+import {StoredPolicyService} from '../../services/policy/stored-policy-service.js';
+import {GrantedRetryService} from '../../services/retries/granted-retry-service.js';
+import {RetryService} from '../../services/retries/retry-service.js';
+import {PolicyRoutingService} from '../../services/routing/policy-routing-service.js';
+import {RoutingService} from '../../services/routing/routing-service.js';
+
+/** A kernel with every service of a node registered; tests replace some before first use. */
+export function createKernel(settings: NodeSettings): Kernel {
+	return new Kernel()
+		.registerInstance(SettingsService, new FixedSettingsService(settings))
+		.register(LogService, WinstonLogService)
+		.register(MetricsService, StatsdMetricsService)
+		.register(StoreService, EtcdStoreService)
+		.register(PeerService, FramedPeerService)
+		.register(PolicyService, StoredPolicyService)
+		.register(LeaseService, StoreLeaseService)
+		.register(MembershipService, GossipMembershipService)
+		.register(RoutingService, PolicyRoutingService)
+		.register(AdmissionService, QueueAdmissionService)
+		.register(BackendService, LoopbackBackendService)
+		.register(UpstreamService, RoutedUpstreamService)
+		.register(OwnershipService, ShardedOwnershipService)
+		.register(RetryService, GrantedRetryService)
+		.register(CallService, GraphCallService)
+		.register(StatusService, StatusReport)
+		.register(CallerService, HttpCallerService);
+}
--- /dev/null
+++ b/src/programs/node/node.ts
@@ -0,0 +1,79 @@
+import {type Disposable} from '../../base/disposable.js';
+import {DisposableStore} from '../../base/disposable-store.js';
+import {type Kernel} from '../../platform/kernel/kernel.js';
+import {LogService} from '../../platform/log/log-service.js';
+import {PeerService} from '../../platform/peer/peer-service.js';
+import {SettingsService} from '../../platform/settings/settings-service.js';
+import {AdmissionService} from '../../services/admission/admission-service.js';
+import {BackendService} from '../../services/backend/backend-service.js';
+import {CallerService} from '../../services/callers/caller-service.js';
+import {CallExecutor} from '../../services/calls/call-executor.js';
+import {CallService} from '../../services/calls/call-service.js';
+import {MembershipService} from '../../services/membership/membership-service.js';
+import {OwnershipService} from '../../services/ownership/ownership-service.js';
+import {PolicyService} from '../../services/policy/policy-service.js';
+
+/** One run of a node: starts its services in order and stops them without cutting work. */
+export class Node implements Disposable {
+	private readonly resources = new DisposableStore();
+	private readonly log: LogService;
+
+	constructor(private readonly kernel: Kernel) {
+		this.resources.add(kernel);
+		this.log = kernel.get(LogService);
+	}
+
+	/** Opens the ports and joins the others; until there is a policy, callers are told so. */
+	async start(signal: AbortSignal): Promise<void> {
+		await this.kernel.get(PeerService).listen();
+		this.wireBackend();
+		await this.kernel.get(BackendService).listen();
+		const callers = this.kernel.get(CallerService);
+		await callers.listen();
+		await this.kernel.get(MembershipService).start(signal, callers.port);
+		await this.kernel.get(PolicyService).start(signal);
+		await this.kernel.get(OwnershipService).start(signal);
+		this.reportPorts();
+	}
+
+	/** Announces the leaving, hands everything over, finishes what runs and ends the registration. */
+	async stop(): Promise<void> {
+		const {shutdownTimeoutMs} = this.kernel.get(SettingsService).settings;
+		const signal = AbortSignal.timeout(shutdownTimeoutMs);
+		this.log.info('leaving');
+		this.kernel.get(MembershipService).drain();
+		await this.kernel.get(OwnershipService).handOver(signal);
+		await this.kernel.get(CallerService).close();
+		await this.kernel.get(AdmissionService).whenIdle();
+		await this.kernel.get(MembershipService).leave(signal);
+		this.log.info('left');
+	}
+
+	dispose(): void {
+		this.resources.dispose();
+	}
+
+	private wireBackend(): void {
+		const backend = this.kernel.get(BackendService);
+		const calls = this.kernel.get(CallService);
+		this.resources.add(this.kernel.create(CallExecutor));
+		backend.setCallHandler(async (request, signal) => calls.call(request, signal));
+		this.resources.add(backend.onDidAnnounce(announcement => {
+			this.kernel.get(MembershipService).announce(announcement);
+			if (announcement) {
+				this.kernel.get(AdmissionService).setAnnounced(announcement.slots, announcement.connections);
+			}
+		}));
+	}
+
+	private reportPorts(): void {
+		const {self} = this.kernel.get(PeerService);
+		this.log.info('listening', {
+			callerPort: this.kernel.get(CallerService).port,
+			backendPort: this.kernel.get(BackendService).port,
+			peerPort: self.peerPort,
+			gossipPort: this.kernel.get(MembershipService).self.gossipPort,
+			incarnation: self.incarnation,
+		});
+	}
+}
--- /dev/null
+++ b/src/programs/node/run-node-program.ts
@@ -0,0 +1,71 @@
+import process from 'node:process';
+import {command, runSafely} from 'cmd-ts';
+import {type Kernel} from '../../platform/kernel/kernel.js';
+import {checkSettings} from '../../platform/settings/check-settings.js';
+import {type NodeSettings} from '../../platform/settings/node-settings.js';
+import {settingArguments} from '../../platform/settings/setting-arguments.js';
+import {ExitStatus} from './exit-status.js';
+import {Node} from './node.js';
+import {version} from './version.js';
+
+const program = command({
+	name: 'kumquatline-node',
+	version,
+	description: 'Routes callers\' requests and guards the backend server of one VM',
+	args: settingArguments,
+	handler: settings => settings,
+});
+
+/** The node program: checks the settings, runs a node on the kernel made for them, and says how it ended. */
+export async function runNodeProgram(createKernel: (settings: NodeSettings) => Kernel): Promise<ExitStatus> {
+	const parsed = await runSafely(program, process.argv.slice(2));
+	if (parsed._tag === 'error') {
+		const {message, into, exitCode} = parsed.error.config;
+		process[into].write(`${message}\n`);
+		return exitCode === 0 ? ExitStatus.Ok : ExitStatus.SettingsInvalid;
+	}
+
+	const {checkSettings: checkOnly, ...settings} = parsed.value;
+	const problems = checkSettings(settings);
+	if (problems.length > 0) {
+		process.stderr.write(`${problems.join('\n')}\n`);
+		return ExitStatus.SettingsInvalid;
+	}
+
+	return checkOnly ? ExitStatus.Ok : runUntilStopped(new Node(createKernel(settings)));
+}
+
+/** Starts a node, waits for SIGTERM or SIGINT, and stops it. */
+async function runUntilStopped(node: Node): Promise<ExitStatus> {
+	const stop = new AbortController();
+	for (const name of ['SIGTERM', 'SIGINT'] as const) {
+		process.once(name, () => {
+			stop.abort();
+		});
+	}
+
+	try {
+		await node.start(stop.signal);
+		await whenAborted(stop.signal);
+		await node.stop();
+		return ExitStatus.Ok;
+	} catch (error) {
+		process.stderr.write(`${error instanceof Error ? error.message : String(error)}\n`);
+		return ExitStatus.Failed;
+	} finally {
+		node.dispose();
+	}
+}
+
+async function whenAborted(signal: AbortSignal): Promise<void> {
+	await new Promise<void>(resolve => {
+		if (signal.aborted) {
+			resolve();
+			return;
+		}
+
+		signal.addEventListener('abort', () => {
+			resolve();
+		}, {once: true});
+	});
+}
