--- a/standins/backend-server/backend-server-options.ts
+++ b/standins/backend-server/backend-server-options.ts
@@ -13,7 +13,7 @@
 	/** Time after the start during which own times are longer. */
 	readonly coldStartMs: number;
 	readonly availabilityZone: string;
-	/** Sub-calls made at once for each request, as `METHOD /path`. */
+	/** Sub-calls made at once for each request, as `METHOD /path`, or as `/served=METHOD /path` for requests of one path. */
 	readonly calls: readonly string[];
 	readonly seed: number;
 };
--- a/standins/backend-server/backend-server-stand-in.ts
+++ b/standins/backend-server/backend-server-stand-in.ts
@@ -168,6 +168,7 @@
 
 		const record: ExecutionRecord = {
 			requestId: header(request, 'kumquatline-request-id') ?? '',
+			traceId: traceId(request),
 			method: request.method ?? '',
 			target: request.url ?? '',
 			startedAtMs: Date.now(),
@@ -195,7 +196,7 @@
 	): Promise<void> {
 		await this.work(record, signal);
 		record.effectAtMs = Date.now();
-		const subCalls = await Promise.all(this.options.calls.map(async call => this.subCall(call, request, signal)));
+		const subCalls = await Promise.all(this.callsFor(record.target).map(async call => this.subCall(call, request, signal)));
 		await delay(this.faults.delayMs, undefined, {signal});
 
 		record.status = this.chooseStatus(shed, subCalls.map(({status}) => status));
@@ -243,13 +244,19 @@
 		}
 	}
 
+	/** Sub-calls that a request's path brings about. */
+	private callsFor(target: string): string[] {
+		return this.options.calls
+			.filter(call => !call.includes('=') || call.startsWith(`${target}=`))
+			.map(call => call.slice(call.indexOf('=') + 1));
+	}
+
 	/** Makes a sub-call through the node, with the context copied verbatim. */
 	private async subCall(call: string, request: IncomingMessage, signal: AbortSignal): Promise<{status: number; answer: unknown}> {
 		const [method, path] = call.split(' ', 2);
-		const context = header(request, 'kumquatline-context');
 		const {statusCode, body} = await sendRequest(`${this.options.nodeBackendUrl ?? ''}${path}`, {
 			method: method as 'GET',
-			headers: context ? {'kumquatline-context': context} : {},
+			headers: copiedHeaders(request),
 			dispatcher: this.agent,
 			signal,
 		});
@@ -272,6 +279,24 @@
 	return Array.isArray(value) ? value[0] : value;
 }
 
+/** Headers that sub-calls take over verbatim. */
+function copiedHeaders(request: IncomingMessage): Record<string, string> {
+	const headers: Record<string, string> = {};
+	for (const name of ['kumquatline-context', 'traceparent']) {
+		const value = header(request, name);
+		if (value !== undefined) {
+			headers[name] = value;
+		}
+	}
+
+	return headers;
+}
+
+/** The trace id of a W3C trace context header. */
+function traceId(request: IncomingMessage): string {
+	return header(request, 'traceparent')?.split('-')[1] ?? '';
+}
+
 /** Aborted when the connection is closed before the answer. */
 function cancellation(response: ServerResponse): AbortSignal {
 	const controller = new AbortController();
--- a/standins/caller/caller-options.ts
+++ b/standins/caller/caller-options.ts
@@ -9,6 +9,8 @@
 	readonly phases: readonly LoadPhase[];
 	/** Requests after which no more are sent. */
 	readonly maxRequests: number;
+	/** Time that a message takes between the caller and any node. */
+	readonly oneWayDelayMs: number;
 	/** Time after which a request is given up. */
 	readonly patienceMs: number;
 	/** Time after which one attempt is cancelled and the next is sent. */
--- a/standins/caller/caller-stand-in.ts
+++ b/standins/caller/caller-stand-in.ts
@@ -80,7 +80,9 @@
 		const body = operation.method === 'POST' ? `order of ${record.requestId}` : '';
 		const signal = AbortSignal.any([patience, AbortSignal.timeout(this.options.attemptTimeoutMs)]);
 		try {
+			await delay(this.options.oneWayDelayMs, undefined, {signal});
 			const answer = await this.exchange(operation, record.requestId, body, signal);
+			await delay(this.options.oneWayDelayMs, undefined, {signal});
 			judge(operation, record, body, answer);
 		} catch {
 			record.outcome = signal.aborted ? RequestOutcome.GaveUp : RequestOutcome.Failed;
@@ -97,6 +99,7 @@
 			headers: {
 				'idempotency-key': requestId,
 				'kumquatline-caller': operation.caller,
+				traceparent: `00-${requestId.replaceAll('-', '')}-0000000000000001-01`,
 				'kumquatline-timeout-ms': String(patienceMs),
 			},
 			body: body === '' ? undefined : body,
--- a/standins/caller/test/caller-stand-in.test.ts
+++ b/standins/caller/test/caller-stand-in.test.ts
@@ -23,6 +23,7 @@
 		],
 		phases: [{durationMs: 1000, ratePerSecond: 100}],
 		maxRequests: 40,
+		oneWayDelayMs: 0,
 		patienceMs: 10_000,
 		attemptTimeoutMs: 5000,
 		maxAttempts: 20,
