--- a/src/services/policy/apply-patch-record.ts
+++ b/src/services/policy/apply-patch-record.ts
@@ -1,10 +1,10 @@
 import {applyPatch} from 'rfc6902';
 import {type z} from 'zod';
 import {ErrorKind} from '../../base/error-kind.js';
-import {KumquatlineError} from '../../base/kumquatline-error.js';
 import {parsePolicy} from './parse-policy.js';
 import {type patchRecord} from './patch-record.js';
 import {type Policy} from './policy.js';
+import {policyRefusal} from './policy-refusal.js';
 
 type PatchRecord = z.infer<typeof patchRecord>;
 type PatchOperation = NonNullable<PatchRecord['operations']>[number];
@@ -23,7 +23,7 @@
 		checkPlace(operation, index);
 		const [error] = applyPatch(document, [operation]);
 		if (error) {
-			throw new KumquatlineError(ErrorKind.PolicyInvalid, `operation ${index} (${operation.op} ${operation.path}): ${error.message}`);
+			throw policyRefusal(ErrorKind.PolicyInvalid, `operation ${index} (${operation.op} ${operation.path}): ${error.message}`);
 		}
 	}
 
@@ -35,7 +35,7 @@
 	for (const pointer of pointers) {
 		const [, member] = pointer.split('/');
 		if (keptMembers.has(member) && operation.op !== 'test') {
-			throw new KumquatlineError(ErrorKind.PolicyInvalid, `operation ${index}: /${member} is not for patches to change`);
+			throw policyRefusal(ErrorKind.PolicyInvalid, `operation ${index}: /${member} is not for patches to change`);
 		}
 	}
 }
--- a/src/services/policy/make-patched-policy.ts
+++ b/src/services/policy/make-patched-policy.ts
@@ -1,20 +1,20 @@
 import {type z} from 'zod';
 import {ErrorKind} from '../../base/error-kind.js';
-import {KumquatlineError} from '../../base/kumquatline-error.js';
 import {applyPatchRecord} from './apply-patch-record.js';
 import {policyDigest} from './policy-digest.js';
 import {type policyPatchSchema} from './policy-patch-schema.js';
 import {type Policy} from './policy.js';
+import {policyRefusal} from './policy-refusal.js';
 
 /** The next version, made by a patch; throws `policy-conflict` for another base version, `policy-invalid` or `policy-unknown`. */
 export function makePatchedPolicy(base: Policy | undefined, patch: z.infer<typeof policyPatchSchema>, acceptedAtMs: number): Policy {
 	const {patchId, baseVersion, operations} = patch;
 	if (!base) {
-		throw new KumquatlineError(ErrorKind.PolicyUnknown, 'there is no policy yet to be patched');
+		throw policyRefusal(ErrorKind.PolicyUnknown, 'there is no policy yet to be patched');
 	}
 
 	if (base.version !== baseVersion) {
-		throw new KumquatlineError(ErrorKind.PolicyConflict, `the patch is based on version ${baseVersion} but version ${base.version} is in force`);
+		throw policyRefusal(ErrorKind.PolicyConflict, `the patch is based on version ${baseVersion} but version ${base.version} is in force`);
 	}
 
 	return applyPatchRecord(base, {
--- a/src/services/policy/parse-patch.ts
+++ b/src/services/policy/parse-patch.ts
@@ -1,14 +1,14 @@
 import {type z} from 'zod';
 import {ErrorKind} from '../../base/error-kind.js';
-import {KumquatlineError} from '../../base/kumquatline-error.js';
 import {describeIssues} from './describe-issues.js';
 import {policyPatchSchema} from './policy-patch-schema.js';
+import {policyRefusal} from './policy-refusal.js';
 
 /** Checks the form of a submitted patch; throws `policy-invalid` with every problem, one a line. */
 export function parsePatch(patch: unknown): z.infer<typeof policyPatchSchema> {
 	const parsed = policyPatchSchema.safeParse(patch);
 	if (!parsed.success) {
-		throw new KumquatlineError(ErrorKind.PolicyInvalid, describeIssues(parsed.error).join('\n'));
+		throw policyRefusal(ErrorKind.PolicyInvalid, describeIssues(parsed.error).join('\n'));
 	}
 
 	return parsed.data;
--- a/src/services/policy/policy-writer.ts
+++ b/src/services/policy/policy-writer.ts
@@ -8,6 +8,7 @@
 import {policyKey} from './policy-key.js';
 import {type PatchResult} from './policy-service.js';
 import {type Policy} from './policy.js';
+import {policyRefusal} from './policy-refusal.js';
 
 /** A change that an operator asks for. */
 type Proposal = {
@@ -61,7 +62,7 @@
 	private findAccepted(policy: Policy | undefined, {patchId, digest}: Proposal): number | undefined {
 		const record = policy?.recentPatches.find(candidate => candidate.patchId === patchId);
 		if (record && record.digest !== digest) {
-			throw new KumquatlineError(ErrorKind.PolicyInvalid, `patch id "${patchId}" belongs to another patch, which made version ${record.version}`);
+			throw policyRefusal(ErrorKind.PolicyInvalid, `patch id "${patchId}" belongs to another patch, which made version ${record.version}`);
 		}
 
 		return record?.version;
--- a/src/services/policy/stored-policy-service.ts
+++ b/src/services/policy/stored-policy-service.ts
@@ -28,6 +28,7 @@
 import {type PatchResult, type PolicyPatch, type PolicyService} from './policy-service.js';
 import {type Policy} from './policy.js';
 import {PolicyWriter} from './policy-writer.js';
+import {policyRefusal} from './policy-refusal.js';
 
 /** How often a watching node compares its watch with a reading by revision. */
 const watchCheckIntervalMs = 1000;
@@ -103,7 +104,7 @@
 			make: found => {
 				this.checkNotEarlier(found);
 				if (found) {
-					throw new KumquatlineError(ErrorKind.PolicyConflict, `there is a policy already: version ${found.version} is in force`);
+					throw policyRefusal(ErrorKind.PolicyConflict, `there is a policy already: version ${found.version} is in force`);
 				}
 
 				return first;
@@ -191,7 +192,7 @@
 	private checkNotEarlier(found: Policy | undefined): void {
 		const version = found?.version ?? 0;
 		if (version < this.version) {
-			throw new KumquatlineError(ErrorKind.PolicyConflict, `version ${this.version} is in force but the store holds version ${version}`);
+			throw policyRefusal(ErrorKind.PolicyConflict, `version ${this.version} is in force but the store holds version ${version}`);
 		}
 	}
 
