--- a/standins/backend-server/backend-server-stand-in.ts
+++ b/standins/backend-server/backend-server-stand-in.ts
@@ -10,6 +10,7 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {Agent, request as sendRequest} from 'undici';
 import {type z} from 'zod';
+import {Emitter} from '../../src/base/emitter.js';
 import {backendServerFaults} from './backend-server-faults.js';
 import {type BackendServerOptions} from './backend-server-options.js';
 import {type ExecutionRecord} from './execution-record.js';
@@ -20,6 +21,9 @@
 
 const announceIntervalMs = 2000;
 const announceTimeoutMs = 1000;
+/** How long a leaving backend server goes on taking work that is on its way. */
+const drainNoticeMs = 500;
+const drainPollMs = 20;
 /** Own times are this much longer during the cold start. */
 const coldFactor = 4;
 /** Requests that wait for a slot before more are shed. */
@@ -30,6 +34,10 @@
 /** Backend server for tests: slots, cold start, drain, shed, cancellation, deadlines and misleading health. */
 export class BackendServerStandIn {
 	readonly history: ExecutionRecord[] = [];
+	/** Fired when an execution begins and again when it has ended. */
+	readonly onDidRecord;
+	private readonly recordEmitter = new Emitter<ExecutionRecord>();
+	private running = 0;
 	private readonly server: Server;
 	private readonly agent = new Agent({connections: 64});
 	private readonly slots: SlotQueue;
@@ -41,6 +49,7 @@
 	private announceTimer: NodeJS.Timeout | undefined;
 
 	constructor(private readonly options: BackendServerOptions) {
+		this.onDidRecord = this.recordEmitter.event;
 		this.random = xoroshiro128plus(options.seed);
 		this.slots = new SlotQueue(options.slots, queueCapacity);
 		this.server = createServer((request, response) => {
@@ -73,6 +82,17 @@
 		await this.announce();
 	}
 
+	/** Announces that it is leaving, finishes what runs, and stops. */
+	async leave(): Promise<void> {
+		await this.drain();
+		const startedAtMs = Date.now();
+		while (Date.now() - startedAtMs < drainNoticeMs || this.running > 0) {
+			await delay(drainPollMs);
+		}
+
+		await this.stop();
+	}
+
 	async stop(): Promise<void> {
 		this.state = 'stopped';
 		clearInterval(this.announceTimer);
@@ -175,6 +195,8 @@
 			ownTimeMs: 0,
 		};
 		this.history.push(record);
+		this.running++;
+		this.recordEmitter.fire(record);
 		try {
 			await this.execute(record, shed, {request, body, response}, signal);
 		} catch {
@@ -182,6 +204,8 @@
 		} finally {
 			this.slots.free();
 			record.endedAtMs = Date.now();
+			this.running--;
+			this.recordEmitter.fire(record);
 			if (!response.writableEnded) {
 				response.destroy();
 			}
--- a/standins/backend-server/main.ts
+++ b/standins/backend-server/main.ts
@@ -1,7 +1,7 @@
 import {once} from 'node:events';
 import process from 'node:process';
 import {
-	command, multioption, number, option, optional, run, string, array,
+	command, flag, multioption, number, option, optional, run, string, array,
 } from 'cmd-ts';
 import {BackendServerStandIn} from './backend-server-stand-in.js';
 
@@ -18,14 +18,20 @@
 		coldStartMs: option({long: 'cold-start-ms', type: number, defaultValue: () => 0}),
 		availabilityZone: option({long: 'zone', type: string, defaultValue: () => 'a'}),
 		calls: multioption({long: 'calls', type: array(string)}),
+		printHistory: flag({long: 'print-history', description: 'print a line of JSON when an execution begins and when it has ended'}),
 		seed: option({long: 'seed', type: number, defaultValue: () => 1}),
 	},
 	async handler(flags) {
 		const standIn = new BackendServerStandIn({...flags, announcedSlots: flags.announcedSlots ?? flags.slots});
+		standIn.onDidRecord(record => {
+			if (flags.printHistory) {
+				console.log(JSON.stringify({execution: record}));
+			}
+		});
 		await standIn.start();
 		console.log(JSON.stringify({ready: true, port: standIn.port}));
 		await once(process, 'SIGTERM');
-		await standIn.stop();
+		await standIn.leave();
 	},
 });
 
