Keep membership by gossip, with few watchers of the store a zone

Cause: every node watching the store costs a call each, and a cut-off zone must go on with the members that it sees. Now a registration is written only where none of another run stands, and a run that hears of a newer one gives its lease up. Change: SWIM over UDP (probes, indirect probes, suspicion, refutation, bounded passing on), two watchers a zone, rare listings with jitter, joining through seeds while the store is away.

--- a/src/platform/peer/test/peer-fixture.ts
+++ b/src/platform/peer/test/peer-fixture.ts
@@ -34,6 +34,7 @@
 		probeAfterMs: 100,
 		abandonAfterMs: 100,
 		gossipIntervalMs: 200,
+		seedAddresses: [],
 		logLevel: 'error',
 		statsdAddress: '',
 		seed: 1,
--- a/src/platform/settings/node-settings.ts
+++ b/src/platform/settings/node-settings.ts
@@ -28,6 +28,8 @@
 	/** Silence after a probe before the connection is abandoned. */
 	readonly abandonAfterMs: number;
 	readonly gossipIntervalMs: number;
+	/** Gossip addresses `IP:PORT` of other nodes, greeted when the store is away at the start. */
+	readonly seedAddresses: readonly string[];
 	readonly logLevel: string;
 	/** StatsD address as `host:port`; empty sends nothing. */
 	readonly statsdAddress: string;
--- a/src/platform/settings/setting-arguments.ts
+++ b/src/platform/settings/setting-arguments.ts
@@ -1,6 +1,7 @@
 import {flag, oneOf} from 'cmd-ts';
 import {boundedInteger} from './bounded-integer.js';
 import {hostPort} from './host-port.js';
+import {hostPortList} from './host-port-list.js';
 import {identifier} from './identifier.js';
 import {ipAddress} from './ip-address.js';
 import {setting} from './setting.js';
@@ -88,6 +89,11 @@
 		description: 'time between two gossip probes',
 		defaultValue: () => 500,
 	}),
+	seedAddresses: setting('seed-addresses', {
+		type: hostPortList,
+		description: 'gossip addresses of other nodes, used when the store is away at the start',
+		defaultValue: () => [],
+	}),
 	logLevel: setting('log-level', {
 		type: oneOf(['error', 'warn', 'info', 'debug'] as const),
 		description: 'least level that is logged',
--- /dev/null
+++ b/src/services/membership/byte-budget.ts
@@ -0,0 +1,23 @@
+const msPerSecond = 1000;
+
+/** Token bucket of bytes: a rate in the long run, with room for a burst. */
+export class ByteBudget {
+	private availableBytes: number;
+	private filledAtMs = performance.now();
+
+	constructor(private readonly bytesPerSecond: number, private readonly burstBytes: number) {
+		this.availableBytes = burstBytes;
+	}
+
+	get available(): number {
+		const nowMs = performance.now();
+		const earnedBytes = (nowMs - this.filledAtMs) * this.bytesPerSecond / msPerSecond;
+		this.availableBytes = Math.min(this.burstBytes, this.availableBytes + earnedBytes);
+		this.filledAtMs = nowMs;
+		return this.availableBytes;
+	}
+
+	spend(bytes: number): void {
+		this.availableBytes -= bytes;
+	}
+}
--- /dev/null
+++ b/src/services/membership/datagram-socket.ts
@@ -0,0 +1,15 @@
+import {type Disposable} from '../../base/disposable.js';
+import {type Event} from '../../base/event.js';
+import {type GossipAddress} from './gossip-address.js';
+
+export type Datagram = {
+	readonly bytes: Uint8Array;
+	readonly from: GossipAddress;
+};
+
+/** Sends and receives datagrams; sending never fails, delivery is never certain. */
+export interface DatagramSocket extends Disposable {
+	readonly port: number;
+	readonly onDidReceive: Event<Datagram>;
+	send(bytes: string, to: GossipAddress): void;
+}
--- /dev/null
+++ b/src/services/membership/failure-detector.ts
@@ -0,0 +1,231 @@
+import {type Disposable} from '../../base/disposable.js';
+import {DisposableStore} from '../../base/disposable-store.js';
+import {Waiter} from '../../base/waiter.js';
+import {type MetricsService} from '../../platform/metrics/metrics-service.js';
+import {type GossipAddress} from './gossip-address.js';
+import {type GossipChannel} from './gossip-channel.js';
+import {type Gossiper} from './gossiper.js';
+import {type GossipHost} from './gossip-host.js';
+import {type GossipMessage} from './gossip-message.js';
+import {GossipMessageKind} from './gossip-message-kind.js';
+import {type Member} from './member.js';
+import {MemberState} from './member-state.js';
+import {type MemberTable} from './member-table.js';
+import {type SeededRandom} from './seeded-random.js';
+
+/** Share of the interval that a direct probe has before other nodes are asked to try. */
+const directShare = 0.4;
+const indirectProbes = 3;
+const goneStates: ReadonlySet<MemberState> = new Set([MemberState.Dead, MemberState.Left]);
+/** Probe rounds that a suspect has to refute, per decimal digit of the number of members. */
+const suspicionRoundsPerDigit = 4;
+/** Chance at each round that a dead member is probed too, so that members find each other after a partition. */
+const deadProbeChance = 0.2;
+/** A round this much longer than meant shows that this process itself stood still. */
+const stalledFactor = 2;
+const maxRelays = 64;
+
+type Relay = {
+	readonly origin: GossipAddress;
+	readonly sequence: number;
+	readonly target: Member;
+};
+
+type Probe = {
+	readonly target: Member;
+	readonly waiter: Waiter;
+	acknowledged: boolean;
+};
+
+/** Finds members that do not answer: direct probes in turn, indirect ones, then suspicion (SWIM), at a constant cost per node. */
+export class FailureDetector implements Disposable {
+	private readonly disposables = new DisposableStore();
+	private readonly probes = new Map<number, Probe>();
+	private readonly relays = new Map<number, Relay>();
+	private readonly suspicionRounds = new Map<string, number>();
+	private turn: string[] = [];
+	private lastSequence = 0;
+
+	constructor(
+		private readonly host: GossipHost,
+		private readonly table: MemberTable,
+		private readonly channel: GossipChannel,
+		private readonly gossiper: Gossiper,
+		private readonly random: SeededRandom,
+		private readonly metrics: MetricsService,
+		private readonly intervalMs: number,
+	) {
+		this.disposables.add(channel.onDidReceive(({message, from}) => {
+			this.receive(message, from);
+		}));
+	}
+
+	/** The task that probes one member after another until it is stopped. */
+	async run(signal: AbortSignal): Promise<void> {
+		const waiter = new Waiter();
+		await waiter.wait(this.intervalMs * this.random.next(), signal);
+		while (!signal.aborted) {
+			const beganAtMs = performance.now();
+			await this.round(signal);
+			const leftMs = this.intervalMs - (performance.now() - beganAtMs);
+			await waiter.wait(Math.max(1, leftMs), signal);
+		}
+	}
+
+	dispose(): void {
+		this.disposables.dispose();
+	}
+
+	private async round(signal: AbortSignal): Promise<void> {
+		this.countSuspicions();
+		this.probeDead();
+		const target = this.nextTarget();
+		if (target) {
+			await this.probe(target, signal);
+		}
+	}
+
+	private async probe(target: Member, signal: AbortSignal): Promise<void> {
+		const sequence = this.nextSequence();
+		const probe: Probe = {target, waiter: new Waiter(), acknowledged: false};
+		this.probes.set(sequence, probe);
+		const beganAtMs = performance.now();
+		this.channel.send(target, GossipMessageKind.Ping, {sequence});
+		await probe.waiter.wait(this.intervalMs * directShare, signal);
+		if (!probe.acknowledged) {
+			this.probeIndirectly(target, sequence);
+			await probe.waiter.wait(this.intervalMs * (1 - directShare), signal);
+		}
+
+		this.probes.delete(sequence);
+		const stalled = performance.now() - beganAtMs > this.intervalMs * stalledFactor;
+		if (!probe.acknowledged && !stalled && !signal.aborted) {
+			this.suspect(target);
+		}
+	}
+
+	private probeIndirectly(target: Member, sequence: number): void {
+		for (const helper of this.gossiper.chooseSome(indirectProbes, target.nodeId)) {
+			this.channel.send(helper, GossipMessageKind.PingRequest, {sequence, targetNodeId: target.nodeId});
+		}
+	}
+
+	private suspect(target: Member): void {
+		const known = this.table.get(target.nodeId);
+		const isHealthy = known && ![MemberState.Suspect, MemberState.Dead, MemberState.Left].includes(known.state);
+		if (isHealthy && known.incarnation === target.incarnation) {
+			this.metrics.count('gossip.suspected');
+			this.gossiper.merge({...known, state: MemberState.Suspect});
+		}
+	}
+
+	/** A suspicion that is not refuted in so many rounds turns into death. */
+	private countSuspicions(): void {
+		const limit = Math.ceil(suspicionRoundsPerDigit * Math.max(1, Math.log10(this.table.size)));
+		for (const member of this.table.all) {
+			if (member.state !== MemberState.Suspect) {
+				this.suspicionRounds.delete(member.nodeId);
+				continue;
+			}
+
+			const rounds = (this.suspicionRounds.get(member.nodeId) ?? 0) + 1;
+			this.suspicionRounds.set(member.nodeId, rounds);
+			if (rounds > limit) {
+				this.gossiper.merge({...member, state: MemberState.Dead});
+			}
+		}
+	}
+
+	private probeDead(): void {
+		const dead = this.random.next() < deadProbeChance ? this.table.all.filter(member => member.state === MemberState.Dead) : [];
+		if (dead.length > 0) {
+			const target = dead[Math.floor(this.random.next() * dead.length)];
+			this.channel.send(target, GossipMessageKind.Ping, {sequence: this.nextSequence()});
+		}
+	}
+
+	/** Members in a random order, each once before any again, so that the time to detection is bounded. */
+	private nextTarget(): Member | undefined {
+		const ownNodeId = this.host.self.nodeId;
+		for (;;) {
+			if (this.turn.length === 0) {
+				const probed = this.table.all.filter(member => member.nodeId !== ownNodeId && !goneStates.has(member.state));
+				this.turn = this.random.shuffle(probed.map(member => member.nodeId));
+			}
+
+			const nodeId = this.turn.pop();
+			if (nodeId === undefined) {
+				return undefined;
+			}
+
+			const member = this.table.get(nodeId);
+			if (member && !goneStates.has(member.state)) {
+				return member;
+			}
+		}
+	}
+
+	private receive(message: GossipMessage, from: GossipAddress): void {
+		switch (message.kind) {
+			case GossipMessageKind.Ping: {
+				this.channel.send(from, GossipMessageKind.Ack, {sequence: message.sequence});
+				break;
+			}
+
+			case GossipMessageKind.PingRequest: {
+				this.relay(message, from);
+				break;
+			}
+
+			case GossipMessageKind.Ack: {
+				this.acknowledge(message);
+				break;
+			}
+
+			case GossipMessageKind.Updates:
+			case GossipMessageKind.Hello: {
+				break;
+			}
+		}
+	}
+
+	private relay(message: GossipMessage, origin: GossipAddress): void {
+		const target = this.table.get(message.targetNodeId);
+		if (!target) {
+			return;
+		}
+
+		const sequence = this.nextSequence();
+		this.relays.set(sequence, {origin, sequence: message.sequence, target});
+		if (this.relays.size > maxRelays) {
+			const [oldest] = this.relays.keys();
+			this.relays.delete(oldest);
+		}
+
+		this.channel.send(target, GossipMessageKind.Ping, {sequence});
+	}
+
+	private acknowledge(message: GossipMessage): void {
+		const relay = this.relays.get(message.sequence);
+		if (relay && isFrom(message, relay.target)) {
+			this.relays.delete(message.sequence);
+			this.channel.send(relay.origin, GossipMessageKind.Ack, {sequence: relay.sequence, targetNodeId: relay.target.nodeId});
+		}
+
+		const probe = this.probes.get(message.sequence);
+		if (probe && (isFrom(message, probe.target) || message.targetNodeId === probe.target.nodeId)) {
+			probe.acknowledged = true;
+			probe.waiter.wake();
+		}
+	}
+
+	private nextSequence(): number {
+		this.lastSequence++;
+		return this.lastSequence;
+	}
+}
+
+/** Whether a message comes from this very run of a node: another may listen at its address by now. */
+function isFrom(message: GossipMessage, target: Member): boolean {
+	return message.nodeId === target.nodeId && message.incarnation === target.incarnation;
+}
--- /dev/null
+++ b/src/services/membership/gossip-address.ts
@@ -0,0 +1,5 @@
+/** Where a node receives datagrams. */
+export type GossipAddress = {
+	readonly address: string;
+	readonly gossipPort: number;
+};
--- /dev/null
+++ b/src/services/membership/gossip-channel.ts
@@ -0,0 +1,106 @@
+import {Buffer} from 'node:buffer';
+import {type Disposable} from '../../base/disposable.js';
+import {DisposableStore} from '../../base/disposable-store.js';
+import {Emitter} from '../../base/emitter.js';
+import {type MetricsService} from '../../platform/metrics/metrics-service.js';
+import {BroadcastQueue} from './broadcast-queue.js';
+import {ByteBudget} from './byte-budget.js';
+import {type Datagram, type DatagramSocket} from './datagram-socket.js';
+import {decodeMessage} from './decode-message.js';
+import {encodeMemberUpdate} from './encode-member-update.js';
+import {encodeMessage} from './encode-message.js';
+import {type GossipAddress} from './gossip-address.js';
+import {type GossipHost} from './gossip-host.js';
+import {type GossipMessage} from './gossip-message.js';
+import {type GossipMessageKind} from './gossip-message-kind.js';
+import {type Member} from './member.js';
+import {type MemberTable} from './member-table.js';
+
+type Received = {
+	readonly message: GossipMessage;
+	readonly from: GossipAddress;
+};
+
+type SendOptions = {
+	readonly sequence?: number;
+	readonly targetNodeId?: string;
+	/** Records to carry besides those that wait to be passed on. */
+	readonly members?: readonly Member[];
+};
+
+const maxDatagramBytes = 1200;
+/** IP and UDP headers of a datagram. */
+const headerBytes = 28;
+/** Usual size of a datagram without updates. */
+const usualHeadBytes = 80;
+/** What passing updates on may cost a node: on average, and at once when many members change together. */
+const updateBytesPerSecond = 500;
+const updateBurstBytes = 16_384;
+
+/** Writes and reads this node's datagrams, and puts waiting updates on whatever is sent. */
+export class GossipChannel implements Disposable {
+	readonly onDidReceive;
+	readonly queue = new BroadcastQueue();
+	private readonly receiveEmitter = new Emitter<Received>();
+	private readonly budget = new ByteBudget(updateBytesPerSecond, updateBurstBytes);
+	private readonly disposables = new DisposableStore();
+
+	constructor(
+		private readonly socket: DatagramSocket,
+		private readonly host: GossipHost,
+		private readonly table: MemberTable,
+		private readonly metrics: MetricsService,
+	) {
+		this.onDidReceive = this.receiveEmitter.event;
+		this.disposables.add(socket);
+		this.disposables.add(socket.onDidReceive(datagram => {
+			this.receive(datagram);
+		}));
+	}
+
+	/** Whether the average allows for another datagram that serves updates only. */
+	get hasBudget(): boolean {
+		return this.budget.available >= maxDatagramBytes + headerBytes;
+	}
+
+	send(to: GossipAddress, kind: GossipMessageKind, options: SendOptions = {}): void {
+		const {nodeId, incarnation, revision, policyVersion} = this.host.self;
+		const message = {
+			kind, nodeId, incarnation, revision, policyVersion, sequence: options.sequence ?? 0, targetNodeId: options.targetNodeId ?? '',
+		};
+		const own = (options.members ?? []).map(member => encodeMemberUpdate(member));
+		const ownBytes = Buffer.byteLength(encodeMessage(message, own));
+		const roomBytes = Math.min(maxDatagramBytes - ownBytes - 1, this.budget.available);
+		const text = encodeMessage(message, [...own, ...this.queue.take(roomBytes, this.table.size)]);
+		const sizeBytes = Buffer.byteLength(text);
+		this.budget.spend(sizeBytes - ownBytes);
+		this.metrics.count('gossip.sent', {}, 1);
+		this.metrics.count('gossip.sent.bytes', {}, sizeBytes + headerBytes);
+		this.socket.send(text, to);
+	}
+
+	/** Sends a datagram that serves updates only, within the average allowed for them. */
+	sendUpdates(to: GossipAddress, kind: GossipMessageKind): void {
+		this.budget.spend(headerBytes + usualHeadBytes);
+		this.send(to, kind);
+	}
+
+	dispose(): void {
+		this.disposables.dispose();
+		this.receiveEmitter.dispose();
+	}
+
+	private receive(datagram: Datagram): void {
+		this.metrics.count('gossip.received');
+		this.metrics.count('gossip.received.bytes', {}, datagram.bytes.length + headerBytes);
+		const message = datagram.bytes.length <= maxDatagramBytes ? decodeMessage(datagram.bytes) : undefined;
+		if (!message) {
+			this.metrics.count('gossip.malformed');
+			return;
+		}
+
+		if (message.nodeId !== this.host.self.nodeId) {
+			this.receiveEmitter.fire({message, from: datagram.from});
+		}
+	}
+}
--- a/src/services/membership/gossip-membership-service.ts
+++ b/src/services/membership/gossip-membership-service.ts
@@ -1,28 +1,49 @@
 import {type Disposable} from '../../base/disposable.js';
 import {DisposableStore} from '../../base/disposable-store.js';
 import {Emitter} from '../../base/emitter.js';
+import {Waiter} from '../../base/waiter.js';
+import {LogService} from '../../platform/log/log-service.js';
+import {MetricsService} from '../../platform/metrics/metrics-service.js';
 import {PeerService} from '../../platform/peer/peer-service.js';
 import {SettingsService} from '../../platform/settings/settings-service.js';
-import {type StoreChange, StoreService} from '../../platform/store/store-service.js';
+import {StoreService} from '../../platform/store/store-service.js';
 import {PolicyService} from '../policy/policy-service.js';
 import {type BackendAnnouncement} from './backend-announcement.js';
+import {type DatagramSocket} from './datagram-socket.js';
+import {FailureDetector} from './failure-detector.js';
+import {GossipChannel} from './gossip-channel.js';
+import {Gossiper} from './gossiper.js';
+import {type GossipHost} from './gossip-host.js';
 import {LeaseService} from './lease-service.js';
 import {type Member} from './member.js';
 import {MemberState} from './member-state.js';
 import {type MembershipService} from './membership-service.js';
 import {MemberTable} from './member-table.js';
 import {parseMember} from './parse-member.js';
+import {PeerJoin} from './peer-join.js';
+import {registrationPrefix} from './registration-prefix.js';
+import {RegistrationReader} from './registration-reader.js';
+import {SeededRandom} from './seeded-random.js';
+import {UdpDatagramSocket} from './udp-datagram-socket.js';
 
-const registrationPrefix = '/kumquatline/nodes/';
+/** Rounds in which a node that leaves says so, and the time between them. */
+const leaveRounds = 4;
+const leavePauseMs = 20;
 
-/** Membership from the registrations in the store. */
+/** Members from the store's registrations, kept up to date by gossip. */
 export class GossipMembershipService implements MembershipService, Disposable {
 	readonly onDidChange;
 	private readonly changeEmitter = new Emitter<Member>();
 	private readonly disposables = new DisposableStore();
+	private readonly stop = new AbortController();
 	private readonly table = new MemberTable();
+	private readonly random: SeededRandom;
+	private gossiper: Gossiper | undefined;
 	private announcement: BackendAnnouncement | undefined;
 	private isDraining = false;
+	private hasLeft = false;
+	private isSuperseded = false;
+	private gossipPort = 0;
 	private callerPort = 0;
 	private revision = 0;
 
@@ -32,17 +53,21 @@
 		@LeaseService private readonly lease: LeaseService,
 		@PeerService private readonly peers: PeerService,
 		@PolicyService private readonly policy: PolicyService,
+		@LogService private readonly log: LogService,
+		@MetricsService private readonly metrics: MetricsService,
 	) {
 		this.onDidChange = this.changeEmitter.event;
+		this.random = new SeededRandom(settings.settings.seed, settings.settings.nodeId);
+		this.disposables.add(this.changeEmitter);
 	}
 
 	get self(): Member {
-		const {availabilityZone, region, gossipPort} = this.settings.settings;
+		const {availabilityZone, region} = this.settings.settings;
 		return {
 			...this.peers.self,
 			availabilityZone,
 			region,
-			gossipPort,
+			gossipPort: this.gossipPort,
 			callerPort: this.callerPort,
 			state: this.ownState,
 			service: this.announcement?.service,
@@ -57,14 +82,6 @@
 		return this.table.all;
 	}
 
-	private get ownState(): MemberState {
-		if (this.isDraining || this.announcement?.draining) {
-			return MemberState.Draining;
-		}
-
-		return this.announcement ? MemberState.Serving : MemberState.Joined;
-	}
-
 	find(nodeId: string): Member | undefined {
 		return this.table.get(nodeId);
 	}
@@ -74,12 +91,16 @@
 	}
 
 	async start(signal: AbortSignal, callerPort = this.settings.settings.callerPort): Promise<void> {
+		signal.addEventListener('abort', () => {
+			this.stop.abort();
+		});
+		const socket = await this.openSocket();
+		this.gossipPort = socket.port;
 		this.callerPort = callerPort;
+		const reader = this.createParts(socket);
 		this.publish();
-		this.disposables.add(this.store.watch(registrationPrefix, change => {
-			this.noteRegistration(change);
-		}));
-		await this.lease.start(signal);
+		await Promise.all([reader.list(this.stop.signal), this.lease.start(this.stop.signal)]);
+		void reader.run(this.stop.signal);
 	}
 
 	announce(announcement: BackendAnnouncement | undefined): void {
@@ -92,12 +113,17 @@
 	}
 
 	drain(): void {
-		this.isDraining = true;
-		this.publish();
+		if (!this.isDraining) {
+			this.isDraining = true;
+			this.publish();
+		}
 	}
 
 	async leave(signal: AbortSignal): Promise<void> {
-		await this.lease.revoke(signal);
+		this.hasLeft = true;
+		this.publish();
+		await Promise.all([this.tellPeers(signal), this.endRegistration(signal)]);
+		this.stop.abort();
 	}
 
 	async isGone(nodeId: string, incarnation: string, signal: AbortSignal): Promise<boolean> {
@@ -107,8 +133,88 @@
 	}
 
 	dispose(): void {
+		this.stop.abort();
 		this.disposables.dispose();
-		this.changeEmitter.dispose();
+	}
+
+	/** Opens the port for gossip; tests put a network of their own in its place. */
+	protected async openSocket(): Promise<DatagramSocket> {
+		const {address, gossipPort} = this.settings.settings;
+		return UdpDatagramSocket.open(address, gossipPort);
+	}
+
+	private get ownState(): MemberState {
+		if (this.hasLeft) {
+			return MemberState.Left;
+		}
+
+		if (this.isDraining || this.announcement?.draining) {
+			return MemberState.Draining;
+		}
+
+		return this.announcement ? MemberState.Serving : MemberState.Joined;
+	}
+
+	private createParts(socket: DatagramSocket): RegistrationReader {
+		const {gossipIntervalMs} = this.settings.settings;
+		const host = this.createHost();
+		const channel = this.disposables.add(new GossipChannel(socket, host, this.table, this.metrics));
+		const gossiper = this.disposables.add(new Gossiper(host, this.table, channel, this.random, gossipIntervalMs));
+		const detector = this.disposables.add(new FailureDetector(host, this.table, channel, gossiper, this.random, this.metrics, gossipIntervalMs));
+		const join = this.disposables.add(new PeerJoin(this.peers, this.table, channel, host, this.settings.settings.seedAddresses));
+		this.disposables.add(this.policy.onDidChange(() => {
+			this.table.put(this.self);
+			gossiper.spreadPolicyVersion();
+		}));
+		this.gossiper = gossiper;
+		void gossiper.run(this.stop.signal);
+		void detector.run(this.stop.signal);
+		return this.disposables.add(this.createReader(gossiper, join));
+	}
+
+	private createReader(gossiper: Gossiper, join: PeerJoin): RegistrationReader {
+		const host = {
+			self: this.self,
+			merge(member: Member, passOn: boolean) {
+				if (passOn) {
+					gossiper.merge(member);
+				} else {
+					gossiper.learn(member);
+				}
+			},
+			setWatching: (watching: boolean) => {
+				this.policy.setWatching(watching);
+			},
+			joinThroughPeers: async (signal: AbortSignal) => join.join(member => {
+				gossiper.learn(member);
+			}, signal),
+		};
+		return new RegistrationReader(host, this.store, this.table, this.random);
+	}
+
+	private createHost(): GossipHost {
+		const self = () => this.self;
+		return {
+			get self() {
+				return self();
+			},
+			refute: revision => {
+				this.metrics.count('gossip.refuted');
+				this.revision = Math.max(this.revision, revision);
+				this.publish();
+			},
+			noteSuperseded: incarnation => {
+				this.stepDown(incarnation);
+			},
+			noteChanged: member => {
+				this.changeEmitter.fire(member);
+			},
+			notePolicyVersion: member => {
+				if (member.policyVersion > this.policy.version) {
+					this.policy.hearOf(member.policyVersion, member);
+				}
+			},
+		};
 	}
 
 	/** Raises the revision of this node's own record and lets everyone have it. */
@@ -116,30 +222,45 @@
 		this.revision++;
 		const {self} = this;
 		this.table.put(self);
+		this.gossiper?.spread(self);
+		if (!this.hasLeft) {
+			this.register(self);
+		}
+
+		this.changeEmitter.fire(self);
+	}
+
+	private register(self: Member): void {
 		this.lease.setRegistration({
 			key: registrationPrefix + self.nodeId,
 			value: JSON.stringify(self),
-			mayReplace: found => (parseMember(found)?.incarnation ?? '') <= self.incarnation,
+			mayReplace: found => parseMember(found)?.incarnation === self.incarnation,
 		});
-		this.changeEmitter.fire(self);
 	}
 
-	private noteRegistration(change: StoreChange): void {
-		const member = change.entry && parseMember(change.entry.value);
-		if (member) {
-			this.merge(member);
-			return;
+	/** A newer run of this node id is about: this one gives up its rights, so that the newer can register. */
+	private stepDown(incarnation: string): void {
+		this.metrics.count('gossip.superseded');
+		if (!this.isSuperseded) {
+			this.isSuperseded = true;
+			this.log.error('a newer run of this node id is about', {incarnation});
+			void this.endRegistration(this.stop.signal);
 		}
+	}
 
-		const known = this.table.get(change.key.slice(registrationPrefix.length));
-		if (known && known.nodeId !== this.peers.self.nodeId) {
-			this.merge({...known, state: MemberState.Dead});
+	private async tellPeers(signal: AbortSignal): Promise<void> {
+		const waiter = new Waiter();
+		for (let round = 0; round < leaveRounds; round++) {
+			this.gossiper?.passOn();
+			await waiter.wait(leavePauseMs, signal);
 		}
 	}
 
-	private merge(member: Member): void {
-		if (member.nodeId !== this.peers.self.nodeId && this.table.merge(member)) {
-			this.changeEmitter.fire(member);
+	private async endRegistration(signal: AbortSignal): Promise<void> {
+		try {
+			await this.lease.revoke(signal);
+		} catch (error) {
+			this.log.warn('registration left to lapse', {reason: String(error)});
 		}
 	}
 }
--- /dev/null
+++ b/src/services/membership/gossiper.ts
@@ -0,0 +1,188 @@
+import {type Disposable} from '../../base/disposable.js';
+import {DisposableStore} from '../../base/disposable-store.js';
+import {Waiter} from '../../base/waiter.js';
+import {BroadcastQueue} from './broadcast-queue.js';
+import {type GossipAddress} from './gossip-address.js';
+import {type GossipChannel} from './gossip-channel.js';
+import {type GossipHost} from './gossip-host.js';
+import {type GossipMessage} from './gossip-message.js';
+import {GossipMessageKind} from './gossip-message-kind.js';
+import {type Member} from './member.js';
+import {MemberState} from './member-state.js';
+import {type MemberTable} from './member-table.js';
+import {type MemberUpdate} from './member-update.js';
+import {type SeededRandom} from './seeded-random.js';
+
+/** Members that one round of passing on goes to. */
+const fanout = 3;
+/** Rounds of passing on in one probe interval. */
+const roundsPerInterval = 5;
+const idleWaitMs = 60_000;
+const unreachableStates: ReadonlySet<MemberState> = new Set([MemberState.Suspect, MemberState.Dead]);
+const goneStates: ReadonlySet<MemberState> = new Set([MemberState.Dead, MemberState.Left]);
+
+/** Spreads changes of members by infection: what is new to a node it passes on to a few others, a bounded number of times. */
+export class Gossiper implements Disposable {
+	private readonly disposables = new DisposableStore();
+	private readonly waiter = new Waiter();
+	private policyNewsLeft = 0;
+
+	constructor(
+		private readonly host: GossipHost,
+		private readonly table: MemberTable,
+		private readonly channel: GossipChannel,
+		private readonly random: SeededRandom,
+		private readonly intervalMs: number,
+	) {
+		this.disposables.add(channel.onDidReceive(({message, from}) => {
+			this.receive(message, from);
+		}));
+	}
+
+	/** The task that passes updates on until it is stopped. */
+	async run(signal: AbortSignal): Promise<void> {
+		while (!signal.aborted) {
+			if (this.hasNews && this.channel.hasBudget) {
+				this.passOn();
+			}
+
+			// A node with nothing to pass on sleeps until it is woken, so that the first news leaves at once.
+			await (this.hasNews ? this.pause(signal) : this.waiter.wait(idleWaitMs, signal));
+		}
+	}
+
+	/** Passes a record on, this node's own included. */
+	spread(member: Member): void {
+		this.channel.queue.add(member);
+		this.waiter.wake();
+	}
+
+	/** Tells some members of the policy version of this node, which every datagram carries. */
+	spreadPolicyVersion(): void {
+		this.policyNewsLeft = BroadcastQueue.transmissionLimit(this.table.size);
+		this.waiter.wake();
+	}
+
+	/** One round of passing on, whatever the budget. */
+	passOn(): void {
+		for (const member of this.chooseSome(fanout)) {
+			this.policyNewsLeft = Math.max(0, this.policyNewsLeft - 1);
+			this.channel.sendUpdates(member, GossipMessageKind.Updates);
+		}
+	}
+
+	/** Takes a record from elsewhere over; news is passed on. */
+	merge(member: Member): void {
+		if (this.learn(member)) {
+			this.spread(member);
+		}
+	}
+
+	/** Takes a record over that others have as well; returns whether it was news. */
+	learn(member: Member): boolean {
+		if (member.nodeId === this.host.self.nodeId) {
+			this.mergeOwn(member);
+			return false;
+		}
+
+		const isNews = this.table.merge(member);
+		if (isNews) {
+			this.host.noteChanged(member);
+		}
+
+		return isNews;
+	}
+
+	/** Some members that are not gone, at random. */
+	chooseSome(count: number, except = ''): Member[] {
+		const ownNodeId = this.host.self.nodeId;
+		const candidates = this.table.all.filter(member => member.nodeId !== ownNodeId && member.nodeId !== except && !goneStates.has(member.state));
+		const chosen: Member[] = [];
+		while (chosen.length < count && candidates.length > 0) {
+			const [member] = candidates.splice(Math.floor(this.random.next() * candidates.length), 1);
+			chosen.push(member);
+		}
+
+		return chosen;
+	}
+
+	dispose(): void {
+		this.disposables.dispose();
+	}
+
+	private get hasNews(): boolean {
+		return !this.channel.queue.isEmpty || this.policyNewsLeft > 0;
+	}
+
+	private async pause(signal: AbortSignal): Promise<void> {
+		const roundMs = this.intervalMs / roundsPerInterval;
+		const pause = new Waiter();
+		await pause.wait(this.random.jitter(roundMs, 0.2), signal);
+	}
+
+	private receive(message: GossipMessage, from: GossipAddress): void {
+		for (const update of message.updates) {
+			this.mergeUpdate(update);
+		}
+
+		const sender = this.table.get(message.nodeId);
+		if (sender?.incarnation !== message.incarnation || sender.revision < message.revision) {
+			this.askForRecord(message, sender, from);
+			return;
+		}
+
+		if (message.kind === GossipMessageKind.Hello) {
+			this.channel.send(from, GossipMessageKind.Updates, {members: [this.host.self]});
+		}
+
+		if (unreachableStates.has(sender.state)) {
+			// It lives: told what is held of it, it refutes that by a higher revision.
+			this.channel.send(from, GossipMessageKind.Updates, {members: [sender]});
+		}
+
+		this.notePolicyVersion(message, sender);
+	}
+
+	/** Asks for a record that is not known; an older run of a known node is told of the newer one instead. */
+	private askForRecord(message: GossipMessage, known: Member | undefined, from: GossipAddress): void {
+		if (known && message.incarnation < known.incarnation) {
+			this.channel.send(from, GossipMessageKind.Updates, {members: [known]});
+			return;
+		}
+
+		this.channel.send(from, GossipMessageKind.Hello, {members: [this.host.self]});
+	}
+
+	private notePolicyVersion(message: GossipMessage, sender: Member): void {
+		if (message.policyVersion > sender.policyVersion) {
+			const member = {...sender, policyVersion: message.policyVersion};
+			this.table.put(member);
+			this.host.notePolicyVersion(member);
+		}
+	}
+
+	private mergeUpdate(update: MemberUpdate): void {
+		if (update.record) {
+			this.merge(update.record);
+			return;
+		}
+
+		const known = this.table.get(update.nodeId);
+		if (known?.incarnation === update.incarnation) {
+			this.merge({...known, revision: update.revision, state: update.state});
+		}
+	}
+
+	private mergeOwn(member: Member): void {
+		const {self} = this.host;
+		if (member.incarnation > self.incarnation) {
+			this.host.noteSuperseded(member.incarnation);
+			return;
+		}
+
+		const isWrong = unreachableStates.has(member.state) || member.state === MemberState.Left;
+		if (member.incarnation === self.incarnation && isWrong && member.revision >= self.revision && self.state !== MemberState.Left) {
+			this.host.refute(member.revision);
+		}
+	}
+}
--- a/src/services/membership/lease-service.ts
+++ b/src/services/membership/lease-service.ts
@@ -5,7 +5,7 @@
 export type Registration = {
 	readonly key: string;
 	readonly value: string;
-	/** Whether a value found in its place may be replaced. */
+	/** Whether a value found in its place may be replaced: never that of another run, which may still hold rights under its lease. */
 	readonly mayReplace: (found: string) => boolean;
 };
 
--- a/src/services/membership/parse-member.ts
+++ b/src/services/membership/parse-member.ts
@@ -1,26 +1,5 @@
-import {z} from 'zod';
 import {type Member} from './member.js';
-import {MemberState} from './member-state.js';
-
-const count = z.number().int().min(0);
-const port = z.number().int().min(0).max(65_535);
-
-const memberSchema = z.object({
-	nodeId: z.string().min(1),
-	incarnation: z.string().min(1),
-	address: z.string().min(1),
-	peerPort: port,
-	gossipPort: port,
-	callerPort: port,
-	availabilityZone: z.string(),
-	region: z.string(),
-	state: z.enum(MemberState),
-	service: z.string().optional(),
-	slots: count,
-	connections: count,
-	policyVersion: count,
-	revision: count,
-});
+import {memberSchema} from './member-schema.js';
 
 /** Reads a registration; undefined when it is not one. */
 export function parseMember(text: string): Member | undefined {
--- /dev/null
+++ b/src/services/membership/registration-prefix.ts
@@ -0,0 +1,2 @@
+/** Prefix of the keys that nodes register under; the node id follows. */
+export const registrationPrefix = '/kumquatline/nodes/';
--- a/src/services/membership/store-lease-service.ts
+++ b/src/services/membership/store-lease-service.ts
@@ -82,6 +82,12 @@
 		this.grantEmitter.dispose();
 	}
 
+	/** Counts the right anew from when a call that was acknowledged had been sent. */
+	protected extendRight(sentMonotonicMs: number, sentWallMs: number): void {
+		this.rightSinceMonotonicMs = sentMonotonicMs;
+		this.rightSinceWallMs = sentWallMs;
+	}
+
 	private async begin(signal: AbortSignal): Promise<void> {
 		signal.addEventListener('abort', () => {
 			this.stop.abort();
@@ -128,8 +134,7 @@
 		}
 
 		this.currentLeaseId = leaseId;
-		this.rightSinceMonotonicMs = monotonicMs;
-		this.rightSinceWallMs = wallMs;
+		this.extendRight(monotonicMs, wallMs);
 		this.metrics.count('lease.granted');
 	}
 
@@ -138,8 +143,7 @@
 		const monotonicMs = performance.now();
 		const wallMs = Date.now();
 		if (await this.store.renewLease(leaseId, stopped)) {
-			this.rightSinceMonotonicMs = monotonicMs;
-			this.rightSinceWallMs = wallMs;
+			this.extendRight(monotonicMs, wallMs);
 			return;
 		}
 
@@ -176,21 +180,13 @@
 		}
 
 		const found = result.current;
-		this.writtenRevision = found?.modRevision ?? 0;
-		if (!found) {
-			return false;
-		}
-
-		if (found.value === registration.value && found.leaseId === leaseId) {
-			return true;
+		if (found && !registration.mayReplace(found.value)) {
+			this.metrics.count('lease.registration.taken');
+			throw new Error(`registration ${registration.key} belongs to another run of the node`);
 		}
 
-		if (!registration.mayReplace(found.value)) {
-			this.metrics.count('lease.superseded');
-			throw new Error(`registration ${registration.key} belongs to a newer run of the node`);
-		}
-
-		return false;
+		this.writtenRevision = found?.modRevision ?? 0;
+		return found?.value === registration.value && found.leaseId === leaseId;
 	}
 
 	private noteWritten(value: string, leaseId: string): void {
--- /dev/null
+++ b/src/services/membership/test/counting-metrics.ts
@@ -0,0 +1,16 @@
+import {type MetricsService} from '../../../platform/metrics/metrics-service.js';
+
+/** Sums counters by name. */
+export class CountingMetrics implements MetricsService {
+	readonly counters: Record<string, number> = {};
+
+	count(name: string, _tags = {}, by = 1): void {
+		this.counters[name] = (this.counters[name] ?? 0) + by;
+	}
+
+	record(): void {/* Not needed. */}
+
+	snapshot() {
+		return {counters: this.counters, histograms: {}};
+	}
+}
--- /dev/null
+++ b/src/services/membership/test/gossip.test.ts
@@ -0,0 +1,201 @@
+import {type Clock} from '@sinonjs/fake-timers';
+import test, {type ExecutionContext} from 'ava';
+import {MemberState} from '../member-state.js';
+import {DatagramNetwork} from './datagram-network.js';
+import {pauseClock, TestNode, testSettings} from './membership-fixture.js';
+import {MemoryStore} from './memory-store.js';
+
+const announcement = {
+	service: 'catalogue', port: 1, slots: 10, connections: 20, draining: false,
+};
+
+class Fleet {
+	readonly store = new MemoryStore();
+	readonly network = new DatagramNetwork();
+	readonly nodes: TestNode[] = [];
+
+	constructor(readonly clock: Clock) {}
+
+	async add(nodeId: string, incarnation: string, changes = {}): Promise<TestNode> {
+		const node = new TestNode(testSettings(nodeId, changes), incarnation, this.store, this.network);
+		this.nodes.push(node);
+		await node.start();
+		node.membership.announce(announcement);
+		return node;
+	}
+
+	async addMany(count: number): Promise<void> {
+		for (let index = 0; index < count; index++) {
+			await this.add(`node-${index}`, `run-1-${String(index).padStart(4, '0')}`, {availabilityZone: `zone-${index % 2}`});
+		}
+
+		await this.clock.tickAsync(5000);
+	}
+
+	/** Number of other nodes that would send work to a node. */
+	senders(nodeId: string): number {
+		return this.nodes.filter(node => node.settings.nodeId !== nodeId
+			&& node.membership.upstreams('catalogue').some(member => member.nodeId === nodeId)).length;
+	}
+
+	states(nodeId: string): MemberState[] {
+		return this.nodes.flatMap(node => node.membership.members.find(member => member.nodeId === nodeId)?.state ?? []);
+	}
+
+	dispose(): void {
+		for (const node of this.nodes) {
+			node.kill();
+		}
+
+		this.clock.uninstall();
+	}
+}
+
+const fleetTest = (title: string, body: (t: ExecutionContext, fleet: Fleet) => Promise<void>) => {
+	test.serial(title, async t => {
+		const fleet = new Fleet(pauseClock());
+		try {
+			await body(t, fleet);
+		} finally {
+			fleet.dispose();
+		}
+	});
+};
+
+fleetTest('a drain is known by all within 2 s, a lossy network and the store\'s outage notwithstanding', async (t, fleet) => {
+	await fleet.addMany(40);
+	t.is(fleet.senders('node-3'), 39);
+	fleet.store.setAway(true);
+	let datagrams = 0;
+	fleet.network.isLost = () => {
+		datagrams++;
+		return datagrams % 10 === 0;
+	};
+
+	fleet.nodes[3].membership.announce({...announcement, draining: true});
+	await fleet.clock.tickAsync(2000);
+	t.is(fleet.senders('node-3'), 0);
+});
+
+fleetTest('believing the health endpoint fails that check', async (t, fleet) => {
+	await fleet.addMany(10);
+	const healthSaysServing = (nodeId: string) => fleet.states(nodeId).length > 0;
+	for (const {membership} of fleet.nodes) {
+		membership.upstreams = service => membership.members.filter(member => member.service === service && healthSaysServing(member.nodeId));
+	}
+
+	fleet.nodes[3].membership.announce({...announcement, draining: true});
+	await fleet.clock.tickAsync(2000);
+	t.is(fleet.senders('node-3'), 9);
+});
+
+fleetTest('a killed node is suspected, then dead; the store alone says that it is gone', async (t, fleet) => {
+	await fleet.addMany(12);
+	const {incarnation} = fleet.nodes[5];
+	fleet.nodes[5].kill();
+	await fleet.clock.tickAsync(4000);
+	t.is(fleet.senders('node-5'), 0);
+	t.false(await fleet.nodes[0].membership.isGone('node-5', incarnation, new AbortController().signal));
+	await fleet.clock.tickAsync(8000);
+	t.true(await fleet.nodes[0].membership.isGone('node-5', incarnation, new AbortController().signal));
+	fleet.nodes.splice(5, 1);
+	t.deepEqual(new Set(fleet.states('node-5')), new Set([MemberState.Dead]));
+});
+
+fleetTest('zones that are cut off keep the members they see and find the others again, drains included', async (t, fleet) => {
+	await fleet.addMany(16);
+	fleet.network.isLost = (from, to) => from % 2 !== to % 2;
+	await fleet.clock.tickAsync(30_000);
+	t.is(fleet.nodes[0].membership.upstreams('catalogue').length, 8);
+	t.is(fleet.nodes[1].membership.upstreams('catalogue').length, 8);
+
+	fleet.nodes[3].membership.announce({...announcement, draining: true});
+	fleet.network.isLost = () => false;
+	await fleet.clock.tickAsync(20_000);
+	t.is(fleet.senders('node-3'), 0);
+	t.is(fleet.nodes[0].membership.upstreams('catalogue').length, 15);
+	t.is(fleet.nodes[1].membership.upstreams('catalogue').length, 15);
+});
+
+fleetTest('a wrong suspicion is refuted by a higher revision', async (t, fleet) => {
+	await fleet.addMany(6);
+	fleet.network.isLost = (_from, to) => to === 2;
+	await fleet.clock.tickAsync(3000);
+	t.true(fleet.states('node-1').some(state => state === MemberState.Suspect || state === MemberState.Dead));
+	const {revision} = fleet.nodes[1].membership.self;
+	fleet.network.isLost = () => false;
+	await fleet.clock.tickAsync(4000);
+	t.true(fleet.nodes[1].membership.self.revision > revision);
+	t.deepEqual(new Set(fleet.states('node-1')), new Set([MemberState.Serving]));
+});
+
+fleetTest('a newer run of a node replaces an older one and never the other way round', async (t, fleet) => {
+	await fleet.addMany(5);
+	const old = fleet.nodes[4];
+	const restarted = await fleet.add('node-4', 'run-2-0004');
+	await fleet.clock.tickAsync(3000);
+	t.is(fleet.nodes[0].membership.find('node-4')?.incarnation, 'run-2-0004');
+	old.membership.announce({...announcement, slots: 99});
+	await fleet.clock.tickAsync(3000);
+	t.is(fleet.nodes[0].membership.find('node-4')?.incarnation, 'run-2-0004');
+	t.false(old.lease.isHeld(), 'a run that hears of a newer one gives up its rights');
+	await fleet.clock.tickAsync(5000);
+	t.true(restarted.lease.isHeld());
+	const {signal} = new AbortController();
+	t.false(await fleet.nodes[0].membership.isGone('node-4', restarted.incarnation, signal));
+	t.true(await fleet.nodes[0].membership.isGone('node-4', old.incarnation, signal));
+});
+
+fleetTest('a restarted node registers only when the former run\'s lease has ended', async (t, fleet) => {
+	await fleet.addMany(3);
+	const [, former] = fleet.nodes;
+	fleet.network.isLost = (from, to) => from === 2 || to === 2;
+	const restarted = await fleet.add('node-1', 'run-2-0001');
+	await fleet.clock.tickAsync(15_000);
+	t.true(former.lease.isHeld());
+	t.false(restarted.lease.isHeld());
+	former.kill();
+	await fleet.clock.tickAsync(15_000);
+	t.true(restarted.lease.isHeld());
+});
+
+fleetTest('a node joins through seeds while the store is away', async (t, fleet) => {
+	await fleet.addMany(6);
+	fleet.store.setAway(true);
+	const joined = await fleet.add('node-9', 'run-1-0009', {seedAddresses: ['127.0.0.1:3']});
+	await fleet.clock.tickAsync(8000);
+	t.is(joined.membership.members.length, 7);
+	t.is(fleet.senders('node-9'), 6);
+});
+
+fleetTest('a policy version spreads and a planned stop is known at once', async (t, fleet) => {
+	await fleet.addMany(30);
+	fleet.nodes[0].policy.hearOf(2);
+	await fleet.clock.tickAsync(1000);
+	t.deepEqual(new Set(fleet.nodes.map(node => node.policy.version)), new Set([2]));
+	const leaving = fleet.nodes[7].membership.leave(new AbortController().signal);
+	await fleet.clock.tickAsync(1000);
+	await leaving;
+	t.is(fleet.senders('node-7'), 0);
+	t.is(fleet.states('node-7').filter(state => state === MemberState.Left).length, 30);
+});
+
+fleetTest('malformed datagrams are dropped and counted', async (t, fleet) => {
+	await fleet.addMany(2);
+	const from = {address: '127.0.0.1', gossipPort: 1};
+	for (const text of ['', 'x', '[]', '["p",1]', '["p",-1,"a","b",1,1,"",[]]', 'x'.repeat(1300)]) {
+		fleet.network.deliver(text, from, {address: '127.0.0.1', gossipPort: 2});
+	}
+
+	await fleet.clock.tickAsync(100);
+	t.is(fleet.nodes[1].metrics.counters['gossip.malformed'], 6);
+});
+
+fleetTest('two nodes of each zone watch the store', async (t, fleet) => {
+	await fleet.addMany(20);
+	await fleet.clock.tickAsync(10_000);
+	t.is(fleet.nodes.filter(node => node.policy.isWatching).length, 4);
+	fleet.nodes[0].kill();
+	await fleet.clock.tickAsync(30_000);
+	t.is(fleet.nodes.slice(1).filter(node => node.policy.isWatching).length, 4);
+});
--- /dev/null
+++ b/src/services/membership/test/lease.test.ts
@@ -0,0 +1,127 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {StoreLeaseService} from '../store-lease-service.js';
+import {CountingMetrics} from './counting-metrics.js';
+import {pauseClock, quietLog, testSettings} from './membership-fixture.js';
+import {MemoryStore} from './memory-store.js';
+
+const seed = 20_261;
+const registration = {key: '/kumquatline/nodes/a', value: 'a', mayReplace: () => true};
+
+/** Counts the right from the arrival of the acknowledgment, as a holder that forgets the way there would. */
+class LeaseFromArrival extends StoreLeaseService {
+	protected override extendRight(): void {
+		super.extendRight(performance.now(), Date.now());
+	}
+}
+
+function createLease(Lease: typeof StoreLeaseService) {
+	const store = new MemoryStore();
+	const lease = new Lease({settings: testSettings('a'), incarnation: '1'}, store, quietLog, new CountingMetrics());
+	lease.setRegistration(registration);
+	return {store, lease, stop: new AbortController()};
+}
+
+/** How often a lease is believed held while the store has let it lapse or another entry stands there. */
+async function countWrongBeliefs(Lease: typeof StoreLeaseService, delays: Array<[number, number]>): Promise<number> {
+	const clock = pauseClock();
+	const {store, lease, stop} = createLease(Lease);
+	try {
+		void lease.start(stop.signal);
+		let wrong = 0;
+		for (const [requestDelayMs, answerDelayMs] of delays) {
+			store.requestDelayMs = requestDelayMs;
+			store.answerDelayMs = answerDelayMs;
+			for (let elapsedMs = 0; elapsedMs < 3000; elapsedMs += 250) {
+				await clock.tickAsync(250);
+				wrong += lease.isHeld() && !store.isLeaseAlive(lease.leaseId!) ? 1 : 0;
+			}
+		}
+
+		return wrong;
+	} finally {
+		stop.abort();
+		await clock.tickAsync(60_000);
+		clock.uninstall();
+	}
+}
+
+const schedules = fc.array(fc.tuple(fc.integer({min: 0, max: 12_000}), fc.integer({min: 0, max: 12_000})), {minLength: 4, maxLength: 12});
+
+test.serial('a lease is never believed held after the store let it lapse', async t => {
+	await fc.assert(fc.asyncProperty(schedules, async delays => {
+		t.is(await countWrongBeliefs(StoreLeaseService, delays), 0);
+	}), {seed, numRuns: 60});
+});
+
+test.serial('a right counted from the acknowledgment\'s arrival fails that check', async t => {
+	const outcome = await fc.check(fc.asyncProperty(schedules, async delays => await countWrongBeliefs(LeaseFromArrival, delays) === 0), {seed, numRuns: 60});
+	t.true(outcome.failed);
+});
+
+test.serial('a process that stood still holds nothing past its lease, whichever clock shows it', async t => {
+	const clock = pauseClock();
+	const {lease, stop} = createLease(StoreLeaseService);
+	try {
+		await lease.start(stop.signal);
+		t.true(lease.isHeld());
+
+		const wallMs = Date.now();
+		clock.setSystemTime(wallMs + 9001);
+		t.false(lease.isHeld(), 'wall clock past the right');
+		clock.setSystemTime(wallMs - 60_000);
+		t.true(lease.isHeld(), 'a wall clock set back prolongs nothing');
+
+		clock.setTimeout(() => {
+			t.false(lease.isHeld(), 'monotonic clock past the right, before any renewal');
+		}, 1);
+		clock.jump(9001);
+	} finally {
+		stop.abort();
+		clock.uninstall();
+	}
+});
+
+test.serial('a lapsed lease is granted anew and held once the registration is back', async t => {
+	const clock = pauseClock();
+	const {store, lease, stop} = createLease(StoreLeaseService);
+	try {
+		await lease.start(stop.signal);
+		const first = lease.leaseId;
+		store.setAway(true);
+		await clock.tickAsync(15_000);
+		t.false(lease.isHeld());
+
+		store.setAway(false);
+		store.requestDelayMs = 100;
+		let heldUnregistered = 0;
+		for (let elapsedMs = 0; elapsedMs < 5000; elapsedMs += 50) {
+			await clock.tickAsync(50);
+			const registered = store.entries.get(registration.key);
+			heldUnregistered += lease.isHeld() && registered?.leaseId !== lease.leaseId ? 1 : 0;
+		}
+
+		t.true(lease.isHeld());
+		t.not(lease.leaseId, first);
+		t.is(heldUnregistered, 0);
+	} finally {
+		stop.abort();
+		clock.uninstall();
+	}
+});
+
+test.serial('an older run of a node does not replace the registration of a newer one', async t => {
+	const clock = pauseClock();
+	const {store, lease, stop} = createLease(StoreLeaseService);
+	try {
+		await store.compareAndSwap(registration.key, 0, 'newer');
+		lease.setRegistration({...registration, mayReplace: found => found !== 'newer'});
+		await lease.start(stop.signal);
+		await clock.tickAsync(10_000);
+		t.is(store.entries.get(registration.key)?.value, 'newer');
+		t.false(lease.isHeld());
+	} finally {
+		stop.abort();
+		clock.uninstall();
+	}
+});
--- /dev/null
+++ b/src/services/membership/test/membership-fixture.ts
@@ -0,0 +1,84 @@
+import {install, type Clock} from '@sinonjs/fake-timers';
+import {type LogService} from '../../../platform/log/log-service.js';
+import {type NodeSettings} from '../../../platform/settings/node-settings.js';
+import {type DatagramSocket} from '../datagram-socket.js';
+import {GossipMembershipService} from '../gossip-membership-service.js';
+import {StoreLeaseService} from '../store-lease-service.js';
+import {CountingMetrics} from './counting-metrics.js';
+import {type DatagramNetwork} from './datagram-network.js';
+import {MemoryPeers} from './memory-peers.js';
+import {type MemoryStore} from './memory-store.js';
+import {VersionedPolicy} from './versioned-policy.js';
+
+export const quietLog: LogService = {
+	debug() {/* Quiet. */},
+	info() {/* Quiet. */},
+	warn() {/* Quiet. */},
+	error() {/* Quiet. */},
+};
+
+/** Pauses the clocks until the returned clock is uninstalled. */
+export function pauseClock(): Clock {
+	return install({now: 1_000_000, toFake: ['setTimeout', 'clearTimeout', 'Date', 'performance']});
+}
+
+export function testSettings(nodeId: string, changes: Partial<NodeSettings> = {}): NodeSettings {
+	return {
+		nodeId,
+		address: '127.0.0.1',
+		availabilityZone: 'zone-a',
+		region: 'test',
+		callerPort: 0,
+		backendPort: 0,
+		peerPort: 0,
+		gossipPort: 0,
+		storeUrls: [],
+		leaseTtlMs: 10_000,
+		leaseMarginMs: 1000,
+		clockSkewBoundMs: 100,
+		shutdownTimeoutMs: 5000,
+		probeAfterMs: 100,
+		abandonAfterMs: 100,
+		gossipIntervalMs: 500,
+		seedAddresses: [],
+		logLevel: 'error',
+		statsdAddress: '',
+		seed: 7,
+		...changes,
+	};
+}
+
+class NetworkedMembership extends GossipMembershipService {
+	network!: DatagramNetwork;
+
+	protected override async openSocket(): Promise<DatagramSocket> {
+		return this.network.open('127.0.0.1');
+	}
+}
+
+/** A run of a node whose membership and lease are real and whose surroundings are within the test. */
+export class TestNode {
+	readonly policy = new VersionedPolicy();
+	readonly metrics = new CountingMetrics();
+	readonly lease: StoreLeaseService;
+	readonly membership: NetworkedMembership;
+	private readonly stop = new AbortController();
+
+	constructor(readonly settings: NodeSettings, readonly incarnation: string, store: MemoryStore, network: DatagramNetwork) {
+		const settingsService = {settings, incarnation};
+		this.lease = new StoreLeaseService(settingsService, store, quietLog, this.metrics);
+		this.membership = new NetworkedMembership(settingsService, store, this.lease, new MemoryPeers(settings, incarnation), this.policy, quietLog, this.metrics);
+		this.membership.network = network;
+	}
+
+	async start(): Promise<void> {
+		await this.membership.start(this.stop.signal);
+	}
+
+	/** Ends the run as a kill does. */
+	kill(): void {
+		this.stop.abort();
+		this.membership.dispose();
+		this.lease.dispose();
+	}
+}
--- /dev/null
+++ b/src/services/membership/test/versioned-policy.ts
@@ -0,0 +1,44 @@
+import {Emitter} from '../../../base/emitter.js';
+import {type Policy} from '../../policy/policy.js';
+import {type PolicyService} from '../../policy/policy-service.js';
+
+/** A policy service that knows version numbers only and takes over whatever it hears of. */
+export class VersionedPolicy implements PolicyService {
+	readonly onDidChange;
+	version = 1;
+	isWatching = false;
+	private readonly changeEmitter = new Emitter<Policy>();
+
+	constructor() {
+		this.onDidChange = this.changeEmitter.event;
+	}
+
+	get current(): Policy {
+		throw new Error('not needed');
+	}
+
+	hearOf(version: number): void {
+		if (version > this.version) {
+			this.version = version;
+			this.changeEmitter.fire({} as Policy);
+		}
+	}
+
+	setWatching(isWatching: boolean): void {
+		this.isWatching = isWatching;
+	}
+
+	async start(): Promise<void> {/* Nothing to follow. */}
+
+	async initialize(): Promise<never> {
+		throw new Error('not needed');
+	}
+
+	async submit(): Promise<never> {
+		throw new Error('not needed');
+	}
+
+	preview(): never {
+		throw new Error('not needed');
+	}
+}
--- a/src/services/ownership/test/mesh/mesh-node.ts
+++ b/src/services/ownership/test/mesh/mesh-node.ts
@@ -72,6 +72,7 @@
 	probeAfterMs: 500,
 	abandonAfterMs: 500,
 	gossipIntervalMs: 500,
+	seedAddresses: [],
 	logLevel: 'error',
 	statsdAddress: '',
 	seed: 1,
