--- /dev/null
+++ b/bench/baseline/forwarding-node.ts
@@ -0,0 +1,136 @@
+import {once} from 'node:events';
+import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import {type AddressInfo} from 'node:net';
+import {buffer, json} from 'node:stream/consumers';
+import {Agent, request as sendRequest} from 'undici';
+
+type Routes = Readonly<Record<string, readonly string[]>>;
+
+type Reply = {
+	readonly status: number;
+	readonly body: Uint8Array;
+};
+
+/** Executions of one call at one hop, the first included. */
+const maxAttempts = 3;
+const attemptTimeoutMs = 1000;
+const connectionsPerOrigin = 256;
+const hopHeader = 'baseline-hop';
+const copiedHeaders = ['content-type', 'idempotency-key', 'traceparent'];
+const retriedStatus = 500;
+
+/** Forwards each call to an upstream in turn and retries what fails, as plain proxies do. */
+export class ForwardingNode {
+	private readonly agent = new Agent({connections: connectionsPerOrigin});
+	private readonly callers = createServer((request, response) => {
+		void this.serveCaller(request, response);
+	});
+
+	private readonly backend = createServer((request, response) => {
+		void this.serveBackend(request, response);
+	});
+
+	private routes: Routes = {};
+	private backendServerUrl = '';
+	private turn = 0;
+
+	get callerPort(): number {
+		return (this.callers.address() as AddressInfo).port;
+	}
+
+	get backendPort(): number {
+		return (this.backend.address() as AddressInfo).port;
+	}
+
+	async listen(): Promise<void> {
+		this.callers.listen(0, '127.0.0.1');
+		this.backend.listen(0, '127.0.0.1');
+		await Promise.all([once(this.callers, 'listening'), once(this.backend, 'listening')]);
+	}
+
+	private async serveCaller(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		if (request.url === '/baseline/routes') {
+			this.routes = await json(request) as Routes;
+			response.end();
+			return;
+		}
+
+		await this.serve(request, response);
+	}
+
+	private async serveBackend(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		if (request.url === '/announce') {
+			const {port} = await json(request) as {port: number};
+			this.backendServerUrl = `http://127.0.0.1:${port}`;
+			response.end();
+			return;
+		}
+
+		await this.serve(request, response);
+	}
+
+	private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const leaving = new AbortController();
+		response.on('close', () => {
+			leaving.abort();
+		});
+		try {
+			const body = await buffer(request);
+			const reply = request.headers[hopHeader] === undefined
+				? await this.forward(request, body, leaving.signal)
+				: await this.exchange(this.backendServerUrl, request, body, leaving.signal);
+			response.writeHead(reply.status, {'content-type': 'application/json', 'content-length': reply.body.length});
+			response.end(reply.body);
+		} catch {
+			if (!response.headersSent) {
+				response.writeHead(502);
+			}
+
+			response.end();
+		}
+	}
+
+	/** Calls one upstream after the other until one answers. */
+	private async forward(request: IncomingMessage, body: Uint8Array, signal: AbortSignal): Promise<Reply> {
+		const upstreams = this.routes[request.url ?? ''] ?? [];
+		let reply: Reply = {status: 503, body: new Uint8Array()};
+		for (let attempt = 0; attempt < maxAttempts && !signal.aborted; attempt++) {
+			const upstream = upstreams[this.turn++ % upstreams.length];
+			reply = await this.attempt(upstream, request, body, signal);
+			if (reply.status < retriedStatus) {
+				break;
+			}
+		}
+
+		return reply;
+	}
+
+	private async attempt(upstream: string, request: IncomingMessage, body: Uint8Array, signal: AbortSignal): Promise<Reply> {
+		try {
+			return await this.exchange(upstream, request, body, AbortSignal.any([signal, AbortSignal.timeout(attemptTimeoutMs)]), {[hopHeader]: '1'});
+		} catch {
+			return {status: 504, body: new Uint8Array()};
+		}
+	}
+
+	private async exchange(
+		url: string,
+		request: IncomingMessage,
+		body: Uint8Array,
+		signal: AbortSignal,
+		ownHeaders: Readonly<Record<string, string>> = {},
+	): Promise<Reply> {
+		const headers: Record<string, string> = {...ownHeaders};
+		for (const name of copiedHeaders) {
+			const value = request.headers[name];
+			if (typeof value === 'string') {
+				headers[name] = value;
+			}
+		}
+
+		const response = await sendRequest(`${url}${request.url ?? ''}`, {
+			method: request.method as 'GET', headers, body: body.length > 0 ? body : undefined, dispatcher: this.agent, signal,
+		});
+		return {status: response.statusCode, body: new Uint8Array(await response.body.arrayBuffer())};
+	}
+}
--- /dev/null
+++ b/bench/overload/chain-calls.ts
@@ -0,0 +1,10 @@
+import {type ChainServices} from './chain-services.js';
+
+/** Sub-calls of each service of the chain. */
+export function chainCalls({entry, second, third}: ChainServices): Readonly<Record<string, readonly string[]>> {
+	return {
+		[entry]: ['GET /plan', 'GET /price'],
+		[second]: ['GET /detail'],
+		[third]: ['/detail=GET /due'],
+	};
+}
--- /dev/null
+++ b/bench/overload/make-policy.ts
@@ -0,0 +1,32 @@
+import {Importance} from '../../src/services/policy/importance.js';
+import {type ChainServices} from './chain-services.js';
+
+const timeoutMs = 2000;
+const patienceMs = 1500;
+const retryTotal = 3;
+
+/** Policy for the four classes of requests on a chain. */
+export function makePolicy({entry, second, third, last}: ChainServices) {
+	const deep = [second, third, last];
+	return {
+		version: 1,
+		services: [entry, second, third, last].map(name => ({name})),
+		operations: [
+			makeOperation('charge', 'POST', '/charges', entry, Importance.Critical, deep),
+			makeOperation('job-sheet', 'GET', '/job-sheets', entry, Importance.High, deep),
+			makeOperation('booking', 'POST', '/bookings', entry, Importance.Normal, deep),
+			makeOperation('browsing', 'GET', '/stock', entry, Importance.Sheddable, deep),
+			makeOperation('plan', 'GET', '/plan', second, Importance.Normal, [third, last]),
+			makeOperation('detail', 'GET', '/detail', third, Importance.Normal, [last]),
+			makeOperation('price', 'GET', '/price', third, Importance.Normal, []),
+			makeOperation('due', 'GET', '/due', last, Importance.Normal, []),
+		],
+		callers: [{name: 'foreman', patienceMs, retryTotal}],
+	};
+}
+
+function makeOperation(name: string, method: 'GET' | 'POST', path: string, service: string, importance: Importance, calls: string[]) {
+	return {
+		name, method, path, service, importance, idempotent: method === 'GET', timeoutMs, calls,
+	};
+}
--- /dev/null
+++ b/bench/overload/measure-run.ts
@@ -0,0 +1,98 @@
+import {type ExecutionRecord} from '../../standins/backend-server/execution-record.js';
+import {RequestOutcome} from '../../standins/caller/request-outcome.js';
+import {type RequestRecord} from '../../standins/caller/request-record.js';
+import {measureRecovery} from './measure-recovery.js';
+import {type ClassFigures, type OverloadFigures} from './overload-figures.js';
+import {type OverloadRun} from './overload-run.js';
+
+const msPerSecond = 1000;
+/** Share of the machine's processor time above which the machine itself may be what limits. */
+const saturatedShare = 0.85;
+
+/** Works out the figures of one run. */
+export function measureRun(system: string, run: OverloadRun, capacityPerSecond: number): OverloadFigures {
+	const {usualFromMs, triggerFromMs, triggerToMs, requests, busyShare} = run;
+	const usual = sentWithin(requests, usualFromMs, triggerFromMs);
+	const usualWhole = usual.filter(request => isWhole(request)).length;
+	const usualSeconds = (triggerFromMs - usualFromMs) / msPerSecond;
+	return {
+		system,
+		usual: {
+			offeredPerSecond: round(usual.length / usualSeconds),
+			goodputPerSecond: round(usualWhole / usualSeconds),
+			goodputShareOfOffered: round(usualWhole / usual.length),
+			outcomes: countOutcomes(usual),
+		},
+		trigger: measureTrigger(run, capacityPerSecond),
+		...measureRecovery(requests, triggerToMs, run.endMs),
+		wrongAnswers: requests.filter(({outcome}) => outcome === RequestOutcome.Wrong).length,
+		machine: {busyShare: round(busyShare), saturated: busyShare > saturatedShare},
+	};
+}
+
+function measureTrigger(run: OverloadRun, capacityPerSecond: number): OverloadFigures['trigger'] {
+	const {triggerFromMs, triggerToMs, requests, executions} = run;
+	const seconds = (triggerToMs - triggerFromMs) / msPerSecond;
+	const sent = sentWithin(requests, triggerFromMs, triggerToMs);
+	const answered = requests.filter(request => isWhole(request) && request.endedAtMs >= triggerFromMs && request.endedAtMs < triggerToMs);
+	const executed = executions.filter(({startedAtMs}) => startedAtMs >= triggerFromMs && startedAtMs < triggerToMs);
+	const calls = new Set(executed.map(({traceId, target}) => `${traceId} ${target}`)).size;
+	return {
+		offeredPerSecond: round(sent.length / seconds),
+		capacityPerSecond: round(capacityPerSecond),
+		goodputPerSecond: round(answered.length / seconds),
+		goodputShareOfCapacity: round(answered.length / seconds / capacityPerSecond),
+		byClass: measureClasses(sent),
+		wastedWorkShare: round(wastedShare(requests, executed)),
+		executionsPerRequest: round(executed.length / sent.length),
+		retriesPerCall: round((executed.length - calls) / calls),
+	};
+}
+
+function measureClasses(sent: readonly RequestRecord[]): Record<string, ClassFigures> {
+	const classes: Record<string, ClassFigures> = {};
+	for (const name of ['charge', 'job-sheet', 'booking', 'browsing']) {
+		const requests = sent.filter(({operation}) => operation === name);
+		const whole = requests.filter(request => isWhole(request)).length;
+		classes[name] = {
+			sent: requests.length, whole, wholeShare: round(whole / requests.length), outcomes: countOutcomes(requests),
+		};
+	}
+
+	return classes;
+}
+
+function wastedShare(requests: readonly RequestRecord[], executed: readonly ExecutionRecord[]): number {
+	const wholeTraces = new Set(requests.filter(request => isWhole(request)).map(({requestId}) => requestId.replaceAll('-', '')));
+	let totalMs = 0;
+	let wastedMs = 0;
+	for (const {ownTimeMs, traceId} of executed) {
+		totalMs += ownTimeMs;
+		wastedMs += wholeTraces.has(traceId) ? 0 : ownTimeMs;
+	}
+
+	return wastedMs / totalMs;
+}
+
+/** Outcomes, and for those that are not whole the error kind of the last answer. */
+function countOutcomes(requests: readonly RequestRecord[]): Record<string, number> {
+	const counts: Record<string, number> = {};
+	for (const {outcome, kind, status} of requests) {
+		const name = [outcome, kind, outcome === RequestOutcome.Whole ? undefined : status].filter(Boolean).join(' ');
+		counts[name] = (counts[name] ?? 0) + 1;
+	}
+
+	return counts;
+}
+
+function sentWithin(requests: readonly RequestRecord[], fromMs: number, toMs: number): RequestRecord[] {
+	return requests.filter(({sentAtMs}) => sentAtMs >= fromMs && sentAtMs < toMs);
+}
+
+function isWhole({outcome}: RequestRecord): boolean {
+	return outcome === RequestOutcome.Whole;
+}
+
+function round(value: number): number {
+	return Math.round(value * 1000) / 1000;
+}
--- /dev/null
+++ b/bench/overload/processor-meter.ts
@@ -0,0 +1,22 @@
+import {cpus} from 'node:os';
+
+/** Share of the machine's processor time that was used since the meter was made, by whomever. */
+export class ProcessorMeter {
+	private readonly before = readTimes();
+
+	get busyShare(): number {
+		const now = readTimes();
+		return (now.busyMs - this.before.busyMs) / (now.totalMs - this.before.totalMs);
+	}
+}
+
+function readTimes(): {busyMs: number; totalMs: number} {
+	let busyMs = 0;
+	let totalMs = 0;
+	for (const {times: {user, nice, sys, irq, idle}} of cpus()) {
+		busyMs += user + nice + sys + irq;
+		totalMs += user + nice + sys + irq + idle;
+	}
+
+	return {busyMs, totalMs};
+}
--- /dev/null
+++ b/bench/overload/small-setup.ts
@@ -0,0 +1,38 @@
+import {callerOperations} from './caller-operations.js';
+import {chainCalls} from './chain-calls.js';
+import {type ChainServices} from './chain-services.js';
+import {makeNodes} from './make-nodes.js';
+import {makePolicy} from './make-policy.js';
+import {type OverloadSetup} from './overload-setup.js';
+
+const services: ChainServices = {
+	entry: 'hire-desk', second: 'dispatch', third: 'catalogue', last: 'returns',
+};
+const calls = chainCalls(services);
+
+/** Nine unequal backend servers in two availability zones, few enough for any machine. */
+export const smallSetup: OverloadSetup = {
+	name: 'small',
+	scale: 'Perth with 9 of 17 upstreams and about a quarter of the slots',
+	nodes: makeNodes([
+		{
+			service: 'hire-desk', calls: calls['hire-desk'], sizes: [[20, 5], [28, 7]], connections: 260,
+		},
+		{
+			service: 'dispatch', calls: calls.dispatch, sizes: [[20, 5], [28, 7]], connections: 260,
+		},
+		{
+			service: 'catalogue', calls: calls.catalogue, sizes: [[20, 4], [28, 6]], connections: 220,
+		},
+		{
+			service: 'returns', sizes: [[3, 36], [4, 40], [6, 45]], connections: 100,
+		},
+	], ['north', 'south']),
+	policy: makePolicy(services),
+	operations: callerOperations,
+	slowService: 'returns',
+	slowFactor: 3,
+	oneWayDelayMs: 8,
+	usualLoadShare: 0.6,
+	surgeFactor: 3,
+};
--- a/standins/graph/graph-plan.ts
+++ b/standins/graph/graph-plan.ts
@@ -5,6 +5,8 @@
 	readonly policy: Readonly<Record<string, unknown>>;
 	/** Further settings for each node, as flags. */
 	readonly nodeFlags?: readonly string[];
+	/** Program file of the nodes, when it is not this build's. */
+	readonly nodeFile?: string;
 	readonly seed: number;
 };
 
--- a/standins/graph/node-program.ts
+++ b/standins/graph/node-program.ts
@@ -21,7 +21,7 @@
 	readonly node: ChildProgram;
 	private backend?: ChildProgram;
 
-	constructor(readonly plan: NodePlan, storeUrl: string, flags: readonly string[], private readonly seed: number) {
+	constructor(readonly plan: NodePlan, storeUrl: string, flags: readonly string[], private readonly seed: number, programFile = nodeFile) {
 		const {nodeId, availabilityZone, region = 'default'} = plan;
 		const args = [
 			'--node-id',
@@ -44,7 +44,7 @@
 			String(seed),
 			...flags,
 		];
-		this.node = new ChildProgram(nodeId, [nodeFile, ...args], line => line.message === 'listening');
+		this.node = new ChildProgram(nodeId, [programFile, ...args], line => line.message === 'listening');
 	}
 
 	get url(): string {
--- a/standins/graph/process-graph.ts
+++ b/standins/graph/process-graph.ts
@@ -31,7 +31,7 @@
 	/** Starts a node with its backend server; also a replacement for one that ended. */
 	async startNode(plan: NodePlan): Promise<NodeProgram> {
 		const index = this.plan.nodes.indexOf(plan);
-		const program = new NodeProgram(plan, this.storeUrl, this.plan.nodeFlags ?? [], this.plan.seed + index + 1);
+		const program = new NodeProgram(plan, this.storeUrl, this.plan.nodeFlags ?? [], this.plan.seed + index + 1, this.plan.nodeFile);
 		this.nodes.set(plan.nodeId, program);
 		await program.start();
 		await program.startBackend();
