Bring up the whole path with the quickstart; record runs of separate processes under faults

Cause: the path's parts had only been run one by one; the policy's routes were not mounted. The fault runs are not run yet.

--- /dev/null
+++ b/prove/history/find-repeated-executions.ts
@@ -0,0 +1,23 @@
+import {EventKind} from './event-kind.js';
+import {type HistoryEvent} from './history-event.js';
+
+/** At most once: no id of a call that is not idempotent begins twice at any backend server. */
+export function findRepeatedExecutions(events: readonly HistoryEvent[]): string[] {
+	const begun = new Map<string, HistoryEvent>();
+	const violations: string[] = [];
+	for (const event of events) {
+		const counts = event.kind === EventKind.Began && !event.idempotent;
+		if (!counts || event.requestId === undefined) {
+			continue;
+		}
+
+		const first = begun.get(event.requestId);
+		if (first) {
+			violations.push(`${event.requestId} began at ${first.nodeId ?? '?'} and again at ${event.nodeId ?? '?'} after ${event.atMs - first.atMs} ms`);
+		}
+
+		begun.set(event.requestId, event);
+	}
+
+	return violations;
+}
--- a/prove/history/history-event.ts
+++ b/prove/history/history-event.ts
@@ -1,13 +1,15 @@
 import {type Execution} from '../../src/base/execution.js';
 import {type EventKind} from './event-kind.js';
 
-/** One event of a concurrent run, in the order of `atMs` on one monotonic clock. */
+/** One event of a concurrent run; all of a run's processes share the wall clock of one machine. */
 export type HistoryEvent = {
 	readonly kind: EventKind;
 	readonly atMs: number;
 	/** Caller's request id, or the derived id of a sub-call. */
 	readonly requestId?: string;
-	readonly rootId?: string;
+	/** Trace that the caller's request began; sub-calls carry it on. */
+	readonly traceId?: string;
+	readonly idempotent?: boolean;
 	/** Node that was asked, or on whose VM the execution was. */
 	readonly nodeId?: string;
 	readonly service?: string;
--- a/prove/history/history.ts
+++ b/prove/history/history.ts
@@ -5,7 +5,7 @@
 	readonly events: HistoryEvent[] = [];
 
 	record(event: Omit<HistoryEvent, 'atMs'>): void {
-		this.events.push({...event, atMs: performance.now()});
+		this.events.push({...event, atMs: Date.now()});
 	}
 
 	/** Adds events recorded elsewhere on the same clock. */
--- /dev/null
+++ b/prove/process/attempt-sender.ts
@@ -0,0 +1,71 @@
+import {createHash} from 'node:crypto';
+import {Agent, request} from 'undici';
+import {type Execution} from '../../src/base/execution.js';
+import {type ProcessGraph} from '../../standins/graph/process-graph.js';
+import {EventKind} from '../history/event-kind.js';
+import {type History} from '../history/history.js';
+
+const attemptTimeoutMs = 6000;
+
+export type ChargeRequest = {
+	readonly requestId: string;
+	readonly traceId: string;
+	readonly path: string;
+	readonly body: string;
+};
+
+/** Sends callers' attempts to nodes and records what callers see. */
+export class AttemptSender {
+	private readonly agent = new Agent({connections: 32});
+	private attempts = 0;
+
+	constructor(private readonly graph: ProcessGraph, private readonly history: History) {}
+
+	/** Sends one attempt; resolves with its end, whatever that is. */
+	async send(charge: ChargeRequest, nodeId: string): Promise<void> {
+		this.attempts++;
+		const {requestId, traceId} = charge;
+		const attempt = {
+			requestId, traceId, nodeId, attemptId: String(this.attempts), mark: markOf(charge.body),
+		};
+		this.history.record({kind: EventKind.Sent, ...attempt});
+		try {
+			const {status, answer} = await this.post(charge, nodeId);
+			this.history.record({
+				kind: EventKind.Answered, ...attempt, status, answerMark: answer.bodyDigest, errorKind: answer.kind, execution: answer.execution, started: answer.started,
+			});
+		} catch {
+			this.history.record({kind: EventKind.Lost, ...attempt});
+		}
+	}
+
+	async dispose(): Promise<void> {
+		await this.agent.destroy();
+	}
+
+	private async post({requestId, traceId, path, body}: ChargeRequest, nodeId: string): Promise<{status: number; answer: Answer}> {
+		const response = await request(`${this.graph.node(nodeId).url}${path}`, {
+			method: 'POST',
+			headers: {
+				'content-type': 'application/json',
+				'idempotency-key': requestId,
+				traceparent: `00-${traceId}-0000000000000001-01`,
+			},
+			body,
+			dispatcher: this.agent,
+			signal: AbortSignal.timeout(attemptTimeoutMs),
+		});
+		return {status: response.statusCode, answer: await response.body.json() as Answer};
+	}
+}
+
+type Answer = {
+	readonly bodyDigest?: string;
+	readonly kind?: string;
+	readonly execution?: Execution;
+	readonly started?: boolean;
+};
+
+function markOf(body: string): string {
+	return createHash('sha256').update(body).digest('hex');
+}
--- /dev/null
+++ b/prove/process/fault-kind.ts
@@ -0,0 +1,14 @@
+/** Faults of runs with separate processes. */
+export enum FaultKind {
+	KillVm = 'kill-vm',
+	KillBackendServer = 'kill-backend-server',
+	/** The node is stopped by a signal for longer than its lease lasts, then goes on. */
+	FreezeNode = 'freeze-node',
+	ReplaceVm = 'replace-vm',
+	StoreOutage = 'store-outage',
+	LostStoreAnswers = 'lost-store-answers',
+	SilentStoreConnections = 'silent-store-connections',
+	SlowBackendServer = 'slow-backend-server',
+	CutAnswers = 'cut-answers',
+	ShedAfterBegin = 'shed-after-begin',
+}
--- /dev/null
+++ b/prove/process/fault-run.ts
@@ -0,0 +1,102 @@
+import {Buffer} from 'node:buffer';
+import {setTimeout as delay} from 'node:timers/promises';
+import {v7 as uuidv7} from 'uuid';
+import {samplePlan} from '../../standins/graph/sample-plan.js';
+import {ProcessGraph} from '../../standins/graph/process-graph.js';
+import {EventKind} from '../history/event-kind.js';
+import {History} from '../history/history.js';
+import {AttemptSender, type ChargeRequest} from './attempt-sender.js';
+import {FaultKind} from './fault-kind.js';
+import {injectFault} from './inject-fault.js';
+import {SeededChoices} from './seeded-choices.js';
+
+const idCount = 60;
+const attemptsPerId = 4;
+/** Attempts of one run are spread over this time. */
+const spreadMs = 5000;
+const leaseTtlMs = 2000;
+const faultsPerRun = 2;
+const nodeFlags = ['--lease-ttl-ms', String(leaseTtlMs), '--lease-margin-ms', '500', '--clock-skew-bound-ms', '100', '--gossip-interval-ms', '200', '--log-level', 'info'];
+const minFaultMs = 300;
+const maxFaultMs = 3500;
+
+/** One run of separate processes: charges re-sent to several nodes at once, with two faults at any moment. */
+export class FaultRun {
+	readonly history = new History();
+	private readonly choices: SeededChoices;
+	private readonly graph: ProcessGraph;
+
+	constructor(seed: number, nodeFile?: string) {
+		this.choices = new SeededChoices(seed);
+		const plan = samplePlan(seed, nodeFlags);
+		const nodes = plan.nodes.map(node => ({...node, backendFlags: ['--print-history']}));
+		this.graph = new ProcessGraph({...plan, nodes, nodeFile});
+		this.graph.onDidRecord(({nodeId, record}) => {
+			const kind = record.endedAtMs === undefined ? EventKind.Began : EventKind.Ended;
+			const {requestId, traceId, method} = record;
+			this.history.add([{
+				kind, atMs: record.endedAtMs ?? record.startedAtMs, requestId, traceId, nodeId, idempotent: method === 'GET',
+			}]);
+		});
+	}
+
+	async run(): Promise<History> {
+		const sender = new AttemptSender(this.graph, this.history);
+		try {
+			await this.graph.start();
+			const charges = this.mintCharges();
+			const faults = this.planFaults();
+			await Promise.all([
+				...charges.map(async charge => this.sendAll(sender, charge)),
+				...faults.map(async fault => this.bringAbout(fault)),
+			]);
+		} finally {
+			await sender.dispose();
+			await this.graph.dispose();
+		}
+
+		return this.history;
+	}
+
+	private mintCharges(): ChargeRequest[] {
+		return Array.from({length: idCount}, (_, index) => ({
+			requestId: uuidv7({random: this.choices.uuidBytes()}),
+			traceId: Buffer.from(this.choices.uuidBytes()).toString('hex'),
+			path: this.choices.pick(['/extensions', '/deliveries', '/job-sheets']),
+			body: JSON.stringify({charge: index}),
+		}));
+	}
+
+	private planFaults() {
+		const kinds = Object.values(FaultKind);
+		const nodeIds = this.graph.plan.nodes.map(({nodeId}) => nodeId);
+		return Array.from({length: faultsPerRun}, () => {
+			const [nodeId] = nodeIds.splice(this.choices.between(0, nodeIds.length - 1), 1);
+			return {
+				kind: this.choices.pick(kinds),
+				nodeId,
+				startMs: this.choices.between(0, spreadMs / 2),
+				durationMs: this.choices.between(minFaultMs, maxFaultMs),
+			};
+		});
+	}
+
+	private async bringAbout(fault: ReturnType<FaultRun['planFaults']>[number]): Promise<void> {
+		await delay(fault.startMs);
+		this.history.record({kind: EventKind.Fault, nodeId: fault.nodeId, fault: fault.kind});
+		await injectFault(this.graph, fault);
+	}
+
+	/** Sends the attempts of one id to nodes of either zone, some of them at once. */
+	private async sendAll(sender: AttemptSender, charge: ChargeRequest): Promise<void> {
+		const firstMs = this.choices.between(0, spreadMs);
+		const attempts = Array.from({length: attemptsPerId}, () => ({
+			atMs: firstMs + this.choices.pick([0, 0, 20, 300, 1500]),
+			nodeId: this.choices.pick(this.graph.plan.nodes).nodeId,
+		}));
+		await Promise.all(attempts.map(async ({atMs, nodeId}) => {
+			await delay(atMs);
+			await sender.send(charge, nodeId);
+		}));
+	}
+}
--- a/src/services/callers/http-caller-service.ts
+++ b/src/services/callers/http-caller-service.ts
@@ -14,6 +14,7 @@
 import {CallService} from '../calls/call-service.js';
 import {type CallRequest} from '../calls/call-request.js';
 import {OwnershipService} from '../ownership/ownership-service.js';
+import {OperatorRoutes} from '../policy/operator-routes.js';
 import {PolicyService} from '../policy/policy-service.js';
 import {RetryService} from '../retries/retry-service.js';
 import {RoutingService} from '../routing/routing-service.js';
@@ -59,6 +60,7 @@
 	) {
 		this.requests = new RequestBuilder(settingsService);
 		backend.setRequestHandler(async (request, response) => this.serve(request, response));
+		new OperatorRoutes(policyService).register(this.router);
 		this.router.on('GET', '/kumquatline/status', (_request, response) => {
 			writeJson(response, this.status.report());
 		});
--- a/standins/graph/child-program.ts
+++ b/standins/graph/child-program.ts
@@ -2,6 +2,7 @@
 import process from 'node:process';
 import {createInterface} from 'node:readline';
 import {Deferred} from '../../src/base/deferred.js';
+import {Emitter} from '../../src/base/emitter.js';
 
 const startTimeoutMs = 20_000;
 
@@ -9,13 +10,17 @@
 
 /** One program under test: its JSON lines, its signals and its end. */
 export class ChildProgram {
+	/** Fired for each line of JSON on standard output. */
+	readonly onDidPrint;
 	readonly exited: Promise<number | undefined>;
 	private readonly process: ChildProcess;
 	private readonly ready = new Deferred<Line>();
 	private readonly errors: string[] = [];
+	private readonly printEmitter = new Emitter<Line>();
 
 	/** `isReady` tells the line after which the program can be used. */
 	constructor(readonly name: string, args: readonly string[], private readonly isReady: (line: Line) => boolean) {
+		this.onDidPrint = this.printEmitter.event;
 		this.process = spawn(process.execPath, args, {stdio: ['ignore', 'pipe', 'pipe']});
 		this.exited = new Promise(resolve => {
 			this.process.once('close', code => {
@@ -68,7 +73,12 @@
 
 		createInterface({input: stdout}).on('line', text => {
 			const line = parseLine(text);
-			if (line && this.isReady(line)) {
+			if (!line) {
+				return;
+			}
+
+			this.printEmitter.fire(line);
+			if (this.isReady(line)) {
 				this.ready.resolve(line);
 			}
 		});
--- a/standins/graph/node-program.ts
+++ b/standins/graph/node-program.ts
@@ -1,4 +1,6 @@
 import {fileURLToPath} from 'node:url';
+import {Emitter} from '../../src/base/emitter.js';
+import {type ExecutionRecord} from '../backend-server/execution-record.js';
 import {ChildProgram} from './child-program.js';
 import {type NodePlan} from './graph-plan.js';
 
@@ -19,9 +21,13 @@
 	/** Port on which the backend server stand-in takes work and faults. */
 	backendServerPort!: number;
 	readonly node: ChildProgram;
+	/** Fired when an execution at the backend server begins and when it has ended. */
+	readonly onDidRecord;
+	private readonly recordEmitter = new Emitter<ExecutionRecord>();
 	private backend?: ChildProgram;
 
 	constructor(readonly plan: NodePlan, storeUrl: string, flags: readonly string[], private readonly seed: number, programFile = nodeFile) {
+		this.onDidRecord = this.recordEmitter.event;
 		const {nodeId, availabilityZone, region = 'default'} = plan;
 		const args = [
 			'--node-id',
@@ -78,6 +84,11 @@
 			...backendFlags,
 		];
 		this.backend = new ChildProgram(`${nodeId} backend server`, [backendFile, ...args], line => line.ready === true);
+		this.backend.onDidPrint(line => {
+			if (line.execution) {
+				this.recordEmitter.fire(line.execution as ExecutionRecord);
+			}
+		});
 		const {port} = await this.backend.start();
 		this.backendServerPort = Number(port);
 	}
--- a/standins/graph/process-graph.ts
+++ b/standins/graph/process-graph.ts
@@ -1,5 +1,7 @@
 import {fileURLToPath} from 'node:url';
 import {request} from 'undici';
+import {Emitter} from '../../src/base/emitter.js';
+import {type ExecutionRecord} from '../backend-server/execution-record.js';
 import {ChildProgram} from './child-program.js';
 import {type GraphPlan, type NodePlan} from './graph-plan.js';
 import {NodeProgram} from './node-program.js';
@@ -9,15 +11,20 @@
 const pollMs = 50;
 
 type StatusMember = {nodeId: string; service?: string; state: string};
-type Status = {policyVersion: number; members: StatusMember[]};
+type Status = {self: StatusMember; policyVersion: number; members: StatusMember[]; shards: Array<{service: string}>};
 
 /** A store, nodes and backend servers as separate processes on loopback. */
 export class ProcessGraph {
 	readonly nodes = new Map<string, NodeProgram>();
 	storeUrl = '';
+	/** Fired with the node's id when an execution at its backend server begins and when it has ended. */
+	readonly onDidRecord;
+	private readonly recordEmitter = new Emitter<{nodeId: string; record: ExecutionRecord}>();
 	private readonly store = new ChildProgram('store', [storeFile], line => line.ready === true);
 
-	constructor(private readonly plan: GraphPlan) {}
+	constructor(readonly plan: GraphPlan) {
+		this.onDidRecord = this.recordEmitter.event;
+	}
 
 	/** Starts everything and waits until each node knows every upstream and the policy. */
 	async start(): Promise<void> {
@@ -33,6 +40,9 @@
 		const index = this.plan.nodes.indexOf(plan);
 		const program = new NodeProgram(plan, this.storeUrl, this.plan.nodeFlags ?? [], this.plan.seed + index + 1, this.plan.nodeFile);
 		this.nodes.set(plan.nodeId, program);
+		program.onDidRecord(record => {
+			this.recordEmitter.fire({nodeId: plan.nodeId, record});
+		});
 		await program.start();
 		await program.startBackend();
 		return program;
@@ -62,7 +72,7 @@
 		return await body.json() as Status;
 	}
 
-	/** Resolves when every node sees every other serving under the policy. */
+	/** Resolves when every node sees every other serving under the policy and has a table of its service's shards. */
 	async whenSettled(): Promise<void> {
 		const startedAtMs = performance.now();
 		for (;;) {
@@ -72,7 +82,7 @@
 			}
 
 			if (performance.now() - startedAtMs > settleTimeoutMs) {
-				throw new Error(`nodes did not settle: ${JSON.stringify(statuses.map(({policyVersion, members}) => ({policyVersion, members})))}`);
+				throw new Error(`nodes did not settle: ${JSON.stringify(statuses)}`);
 			}
 
 			await new Promise(resolve => {
@@ -97,7 +107,8 @@
 
 function isSettled(status: Status, count: number): boolean {
 	const serving = status.members.filter(member => member.state === 'serving');
-	return status.policyVersion > 0 && serving.length === count;
+	const hasShards = status.shards.some(({service}) => service === status.self.service);
+	return status.policyVersion > 0 && serving.length === count && hasShards;
 }
 
 async function post(url: string, body: Readonly<Record<string, unknown>>): Promise<void> {
