--- a/src/platform/peer/call-receiver.ts
+++ b/src/platform/peer/call-receiver.ts
@@ -1,11 +1,12 @@
 import {
-	JSONRPCServer, createJSONRPCErrorResponse, createJSONRPCSuccessResponse, type JSONRPCRequest, type JSONRPCResponse,
+	JSONRPCErrorCode, JSONRPCServer, createJSONRPCErrorResponse, createJSONRPCSuccessResponse, type JSONRPCRequest, type JSONRPCResponse,
 } from 'json-rpc-2.0';
 import {type Disposable} from '../../base/disposable.js';
 import {ErrorKind} from '../../base/error-kind.js';
 import {KumquatlineError} from '../../base/kumquatline-error.js';
 import {toDisposable} from '../../base/to-disposable.js';
 import {toWireError} from '../../base/to-wire-error.js';
+import {type MetricsService} from '../metrics/metrics-service.js';
 import {CallMemory} from './call-memory.js';
 import {type CallOutcome} from './call-outcome.js';
 import {type PeerConnection} from './peer-connection.js';
@@ -13,6 +14,7 @@
 import {type PeerCall} from './peer-service.js';
 import {type WireCall} from './wire-call.js';
 
+type CancelParams = {readonly id: string; readonly deadlineAtMs: number};
 type Handler = (params: unknown, call: PeerCall) => Promise<unknown>;
 
 /** Code of errors whose data is a `WireError`. */
@@ -24,10 +26,12 @@
 	private readonly handlers = new Map<string, Handler>();
 	private readonly memory = new CallMemory();
 
-	constructor(private readonly clockSkewBoundMs: number) {
+	constructor(private readonly clockSkewBoundMs: number, private readonly metrics: MetricsService) {
 		this.server.addMethod('ping', () => true);
-		this.server.addMethod('cancel', ({id, deadlineAtMs}: {id: string; deadlineAtMs: number}, connection) => {
-			this.cancel(id, connection.knownPeer!, deadlineAtMs);
+		this.server.addMethod('cancel', (params: Partial<CancelParams> | undefined, connection) => {
+			if (typeof params?.id === 'string' && typeof params.deadlineAtMs === 'number') {
+				this.cancel(params.id, connection.knownPeer!, params.deadlineAtMs);
+			}
 		});
 	}
 
@@ -90,7 +94,12 @@
 
 	private async respond(request: JSONRPCRequest, from: PeerIdentity): Promise<JSONRPCResponse> {
 		const id = String(request.id);
-		const outcome = await this.receive(id, request.method, request.params as WireCall, from);
+		if (!id.startsWith(`${request.method}/`) || !isWireCall(request.params)) {
+			this.metrics.count('peer.protocol_errors');
+			return createJSONRPCErrorResponse(id, JSONRPCErrorCode.InvalidParams, 'malformed call');
+		}
+
+		const outcome = await this.receive(id, request.method, request.params, from);
 		if (outcome.error) {
 			return createJSONRPCErrorResponse(id, applicationErrorCode, outcome.error.message, outcome.error);
 		}
@@ -98,3 +107,8 @@
 		return createJSONRPCSuccessResponse(id, outcome.result);
 	}
 }
+
+function isWireCall(params: unknown): params is WireCall {
+	const {timeoutMs, deadlineAtMs} = (params ?? {}) as Partial<WireCall>;
+	return typeof timeoutMs === 'number' && typeof deadlineAtMs === 'number';
+}
--- a/src/platform/peer/framed-peer-service.ts
+++ b/src/platform/peer/framed-peer-service.ts
@@ -41,7 +41,7 @@
 		@MetricsService private readonly metrics: MetricsService,
 	) {
 		this.port = settingsService.settings.peerPort;
-		this.receiver = new CallReceiver(settingsService.settings.clockSkewBoundMs);
+		this.receiver = new CallReceiver(settingsService.settings.clockSkewBoundMs, metrics);
 	}
 
 	get self(): PeerAddress {
--- /dev/null
+++ b/src/services/callers/answer-malformed.ts
@@ -0,0 +1,31 @@
+import {STATUS_CODES} from 'node:http';
+import {type Duplex} from 'node:stream';
+import {errorAnswers} from '../../base/error-answers.js';
+import {ErrorKind} from '../../base/error-kind.js';
+import {Execution} from '../../base/execution.js';
+
+/**
+Answers bytes that are no HTTP request and closes the connection.
+
+Nothing is answered while an earlier request of the connection runs, as the answer would be taken for that request's.
+*/
+export function answerMalformed(socket: Duplex, isRunning: boolean): void {
+	if (isRunning || !socket.writable) {
+		socket.destroy();
+		return;
+	}
+
+	const {status, title} = errorAnswers[ErrorKind.BadRequest];
+	const body = JSON.stringify({
+		type: `urn:kumquatline:error:${ErrorKind.BadRequest}`, title, status, detail: 'the bytes are no whole HTTP request',
+		kind: ErrorKind.BadRequest, execution: Execution.NotRun, started: false,
+	});
+	socket.end([
+		`HTTP/1.1 ${status} ${STATUS_CODES[status]}`,
+		'connection: close',
+		'content-type: application/problem+json',
+		`content-length: ${new TextEncoder().encode(body).length}`,
+		'',
+		body,
+	].join('\r\n'));
+}
--- a/src/services/callers/http-caller-service.ts
+++ b/src/services/callers/http-caller-service.ts
@@ -1,6 +1,7 @@
 import {once} from 'node:events';
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import {type AddressInfo} from 'node:net';
+import {type Duplex} from 'node:stream';
 import createRouter from 'find-my-way';
 import {z} from 'zod';
 import {type Disposable} from '../../base/disposable.js';
@@ -18,6 +19,7 @@
 import {PolicyService} from '../policy/policy-service.js';
 import {RetryService} from '../retries/retry-service.js';
 import {RoutingService} from '../routing/routing-service.js';
+import {answerMalformed} from './answer-malformed.js';
 import {CallerHeader} from './caller-header.js';
 import {type CallerService} from './caller-service.js';
 import {readBody} from './read-body.js';
@@ -43,6 +45,8 @@
 		this.router.lookup(request, response);
 	});
 
+	/** Connections with a call under way. */
+	private readonly running = new WeakSet<Duplex>();
 	private readonly requests: RequestBuilder;
 	private draining = false;
 
@@ -61,6 +65,9 @@
 		this.requests = new RequestBuilder(settingsService);
 		backend.setRequestHandler(async (request, response) => this.serve(request, response));
 		new OperatorRoutes(policyService).register(this.router);
+		this.server.on('clientError', (_error, socket) => {
+			answerMalformed(socket, this.running.has(socket));
+		});
 		this.router.on('GET', '/kumquatline/status', (_request, response) => {
 			writeJson(response, this.status.report());
 		});
@@ -135,12 +142,15 @@
 			controller.abort();
 		};
 
+		const {socket} = response.req;
 		response.once('close', leave);
+		this.running.add(socket);
 		try {
 			await this.admit(call, id, controller.signal);
 			return await this.calls.call(call, controller.signal);
 		} finally {
 			response.off('close', leave);
+			this.running.delete(socket);
 		}
 	}
 
--- a/src/services/callers/test/edge-fixture.ts
+++ b/src/services/callers/test/edge-fixture.ts
@@ -59,7 +59,7 @@
 }
 
 /** The callers' and the backend server's side of one node, with a backend server behind it. */
-export async function startEdge(listener: RequestListener) {
+export async function startEdge(t: {teardown(release: () => void): void}, listener: RequestListener) {
 	const kernel = new Kernel()
 		.registerInstance(SettingsService, new FixedSettingsService(testSettings('edge'), 'incarnation'))
 		.registerInstance(LogService, {
@@ -89,6 +89,11 @@
 			service: 'hire-desk', port, slots, connections: slots, state: 'serving',
 		}),
 	});
+	t.teardown(() => {
+		kernel.dispose();
+		server.close();
+		server.closeAllConnections();
+	});
 	return {
 		kernel,
 		backend,
@@ -97,10 +102,5 @@
 		metrics: kernel.get(MetricsService),
 		requests: (kernel.get(CallService) as LocalCallService).requests,
 		callerUrl: `http://127.0.0.1:${callers.port}`,
-		stop() {
-			kernel.dispose();
-			server.close();
-			server.closeAllConnections();
-		},
 	};
 }
--- a/src/services/callers/test/http-caller-service.test.ts
+++ b/src/services/callers/test/http-caller-service.test.ts
@@ -8,17 +8,16 @@
 };
 
 test('a read goes to the backend server and its whole answer comes back', async t => {
-	const edge = await startEdge(echo);
+	const edge = await startEdge(t, echo);
 	const response = await fetch(`${edge.callerUrl}/stock/7?size=2`);
 	const requestId = response.headers.get('kumquatline-request-id');
 	t.is(response.status, 200);
 	t.deepEqual(await response.json(), {method: 'GET', url: '/stock/7?size=2', requestId});
 	t.like(edge.requests[0], {operation: 'read-stock', context: {caller: 'foreman', depth: 1, rootOwner: {nodeId: 'edge', incarnation: 'incarnation'}}});
-	edge.stop();
 });
 
 test('a booking carries the key as its id and the shorter of the time limits', async t => {
-	const edge = await startEdge(echo);
+	const edge = await startEdge(t, echo);
 	const headers = {'idempotency-key': 'key-1', 'kumquatline-caller': 'truck', 'kumquatline-timeout-ms': '400'};
 	const response = await fetch(`${edge.callerUrl}/bookings`, {method: 'POST', body: '{"panel":7}', headers});
 	t.is(response.status, 200);
@@ -28,11 +27,10 @@
 	});
 	t.is(context.deadlineAtMs - context.enteredAtMs, 400);
 	t.false('kumquatline-caller' in passed);
-	edge.stop();
 });
 
 test('a sub-call keeps the root, goes one deeper and gets a derived id', async t => {
-	const edge = await startEdge((request, response) => {
+	const edge = await startEdge(t, (request, response) => {
 		if (request.method === 'POST') {
 			void bookAndRead(request, response);
 			return;
@@ -55,14 +53,12 @@
 	});
 	t.not(child.requestId, 'key-2');
 	t.true(child.context.deadlineAtMs <= parent.context.deadlineAtMs);
-	edge.stop();
 });
 
 test('a closing service answers what runs and refuses what is new', async t => {
-	const edge = await startEdge(echo);
+	const edge = await startEdge(t, echo);
 	const {port} = edge.callers;
 	await fetch(`${edge.callerUrl}/stock/7`);
 	await edge.callers.close();
 	await t.throwsAsync(fetch(`http://127.0.0.1:${port}/stock/7`));
-	edge.stop();
 });
