--- /dev/null
+++ b/src/programs/cli/exit-status-of.ts
@@ -0,0 +1,21 @@
+import {type z} from 'zod';
+import {ErrorKind} from '../../base/error-kind.js';
+import {Execution} from '../../base/execution.js';
+import {ExitStatus} from './exit-status.js';
+import {type problem} from './problem.js';
+
+const statuses = new Map([
+	[ErrorKind.PolicyInvalid, ExitStatus.PolicyInvalid],
+	[ErrorKind.PolicyConflict, ExitStatus.PolicyConflict],
+	[ErrorKind.PolicyUnknown, ExitStatus.Unavailable],
+	[ErrorKind.StoreUnavailable, ExitStatus.Unavailable],
+]);
+
+/** The exit status that a node's refusal or failure leads to. */
+export function exitStatusOf({kind, execution}: z.infer<typeof problem>): ExitStatus {
+	if (kind === ErrorKind.StoreUnavailable && execution === Execution.Unknown) {
+		return ExitStatus.OutcomeUnknown;
+	}
+
+	return statuses.get(kind) ?? ExitStatus.Failed;
+}
--- /dev/null
+++ b/src/programs/cli/flatten-status.ts
@@ -0,0 +1,15 @@
+const maxListed = 8;
+
+/** Rows of a path and a value for each leaf of a JSON document; long lists of plain values are cut. */
+export function flattenStatus(value: unknown, path = ''): string[][] {
+	if (Array.isArray(value) && value.every(item => typeof item !== 'object')) {
+		const rest = value.length > maxListed ? ` … (${value.length})` : '';
+		return [[path, value.slice(0, maxListed).join(' ') + rest]];
+	}
+
+	if (typeof value === 'object' && value !== null) {
+		return Object.entries(value).flatMap(([key, item]) => flattenStatus(item, path === '' ? key : `${path} ${key}`));
+	}
+
+	return [[path, String(value)]];
+}
--- /dev/null
+++ b/src/programs/cli/node-client.ts
@@ -0,0 +1,63 @@
+import {request} from 'undici';
+import {CliError} from './cli-error.js';
+import {ExitStatus} from './exit-status.js';
+import {exitStatusOf} from './exit-status-of.js';
+import {problem} from './problem.js';
+
+type Exchange = {
+	readonly method: 'GET' | 'POST';
+	readonly path: string;
+	readonly body?: unknown;
+};
+
+/** Operators' endpoints of one node; every failure is a `CliError`. */
+export class NodeClient {
+	constructor(private readonly baseUrl: string, private readonly timeoutMs: number) {}
+
+	async get(path: string): Promise<unknown> {
+		return this.exchange({method: 'GET', path}, ExitStatus.Unavailable);
+	}
+
+	/** Asks without changing anything. */
+	async check(path: string, body: unknown): Promise<unknown> {
+		return this.exchange({method: 'POST', path, body}, ExitStatus.Unavailable);
+	}
+
+	/** Asks for a change, whose outcome is open when no answer comes. */
+	async change(path: string, body: unknown): Promise<unknown> {
+		return this.exchange({method: 'POST', path, body}, ExitStatus.OutcomeUnknown);
+	}
+
+	private async exchange({method, path, body}: Exchange, withoutAnswer: ExitStatus): Promise<unknown> {
+		let statusCode: number;
+		let answer: unknown;
+		try {
+			const response = await request(new URL(path, this.baseUrl), {
+				method,
+				body: body === undefined ? null : JSON.stringify(body),
+				headers: {'content-type': 'application/json'},
+				signal: AbortSignal.timeout(Math.max(1, Math.round(this.timeoutMs))),
+			});
+			statusCode = response.statusCode;
+			answer = await response.body.json();
+		} catch (error) {
+			throw this.noAnswer(error as NodeJS.ErrnoException, withoutAnswer);
+		}
+
+		if (statusCode === 200) {
+			return answer;
+		}
+
+		const failure = problem.safeParse(answer);
+		if (!failure.success) {
+			throw new CliError(ExitStatus.Failed, `${this.baseUrl} answered with status ${statusCode}`);
+		}
+
+		throw new CliError(exitStatusOf(failure.data), failure.data.detail, failure.data.kind);
+	}
+
+	private noAnswer(error: NodeJS.ErrnoException, withoutAnswer: ExitStatus): CliError {
+		const status = error.code === 'ECONNREFUSED' ? ExitStatus.Unavailable : withoutAnswer;
+		return new CliError(status, `no answer from ${this.baseUrl}: ${error.message}`);
+	}
+}
--- /dev/null
+++ b/src/programs/cli/policy-diff-command.ts
@@ -0,0 +1,32 @@
+import {command, positional, string} from 'cmd-ts';
+import {createPatch} from 'rfc6902';
+import {v7 as uuidv7} from 'uuid';
+import {z} from 'zod';
+import {commonArguments} from './common-arguments.js';
+import {NodeClient} from './node-client.js';
+import {type Output} from './output.js';
+import {readJsonFile} from './read-json-file.js';
+
+const versioned = z.looseObject({version: z.number()});
+const preview = z.object({policy: versioned});
+
+/** `kumquatline policy diff FILE`. */
+export const policyDiffCommand = command({
+	name: 'diff',
+	description: 'Print the patch that leads from the policy in force to a whole document, ready for `policy patch`; without operations when there is no difference',
+	examples: [{description: 'Bring the mesh to what is under version control', command: 'kumquatline policy diff policy.json | kumquatline policy patch -'}],
+	args: {
+		...commonArguments,
+		file: positional({type: string, displayName: 'FILE', description: 'the document wanted, or - for standard input'}),
+	},
+	async handler({node, timeoutMs, file}): Promise<Output> {
+		const wanted = await readJsonFile(file);
+		const client = new NodeClient(node, timeoutMs);
+		// The node fills in what the document leaves to defaults.
+		const whole = preview.parse(await client.check('/kumquatline/policy/validate', wanted)).policy;
+		const inForce = versioned.parse(await client.get('/kumquatline/policy'));
+		const operations = createPatch(inForce, {...whole, version: inForce.version});
+		const document = {patchId: uuidv7(), baseVersion: inForce.version, operations};
+		return {document, text: JSON.stringify(document, undefined, '\t')};
+	},
+});
--- /dev/null
+++ b/src/programs/cli/problem.ts
@@ -0,0 +1,10 @@
+import {z} from 'zod';
+import {ErrorKind} from '../../base/error-kind.js';
+import {Execution} from '../../base/execution.js';
+
+/** What a node answers when it refuses or fails. */
+export const problem = z.object({
+	kind: z.enum(ErrorKind),
+	detail: z.string(),
+	execution: z.enum(Execution).optional(),
+});
--- /dev/null
+++ b/src/programs/cli/test/run-cli.test.ts
@@ -0,0 +1,129 @@
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import test, {type ExecutionContext as Context} from 'ava';
+import {type LocalPeers} from '../../../services/policy/test/local-peers.js';
+import {MemoryStore} from '../../../services/policy/test/memory-store.js';
+import {OperatorServer} from '../../../services/policy/test/operator-server.js';
+import {PolicyNode} from '../../../services/policy/test/policy-node.js';
+import {sampleDocument} from '../../../services/policy/test/sample-document.js';
+import {ExitStatus} from '../exit-status.js';
+import {runCli} from '../run-cli.js';
+
+type Run = {readonly status: ExitStatus; readonly stdout: string; readonly stderr: string};
+
+async function run(...args: string[]): Promise<Run> {
+	let stdout = '';
+	let stderr = '';
+	const status = await runCli(args, {
+		stdout(text) {
+			stdout += text;
+		},
+		stderr(text) {
+			stderr += text;
+		},
+	});
+	return {status, stdout, stderr};
+}
+
+async function open(t: Context) {
+	const store = new MemoryStore();
+	const server = new OperatorServer(new PolicyNode('node', store, new Map<string, LocalPeers>()));
+	const directory = await mkdtemp(join(tmpdir(), 'kumquatline-'));
+	t.teardown(async () => {
+		server.dispose();
+		await rm(directory, {recursive: true});
+	});
+	await server.listen();
+	const runAtNode = async (...args: string[]): Promise<Run> => {
+		const {status, stdout, stderr} = await run(...args, '--node', server.url);
+		const hide = (text: string): string => text.replaceAll(server.url, 'URL').replaceAll(directory, 'DIRECTORY').replaceAll(/\d{4}-\d\d-\d\dT[\d:.]+Z/gv, 'TIME');
+		return {status, stdout: hide(stdout), stderr: hide(stderr)};
+	};
+
+	const file = async (name: string, content: unknown): Promise<string> => {
+		const path = join(directory, name);
+		await writeFile(path, JSON.stringify(content));
+		return path;
+	};
+
+	return {
+		server, store, run: runAtNode, file,
+	};
+}
+
+const replaceTimeout = [{op: 'replace', path: '/operations/0/timeoutMs', value: 3000}];
+
+test('every command has a whole help text', async t => {
+	const commands = ['', 'nodes', 'status', 'policy', ...['init', 'show', 'validate', 'diff', 'patch', 'history', 'wait'].map(name => `policy ${name}`)];
+	for (const command of commands) {
+		const {stdout, status} = await run(...command.split(' ').filter(Boolean), '--help');
+		t.is(status, ExitStatus.Ok);
+		t.snapshot(stdout, `kumquatline ${command}`);
+	}
+});
+
+test('an operator creates, patches and follows a policy', async t => {
+	const {run: runAtNode, file} = await open(t);
+	const document = await file('policy.json', sampleDocument);
+	const patch = await file('patch.json', {patchId: 'p1', baseVersion: 1, operations: replaceTimeout});
+	const wanted = await file('wanted.json', {...sampleDocument, retryShare: 0.2});
+	const runs = [
+		await runAtNode('policy', 'show'),
+		await runAtNode('policy', 'validate', document),
+		await runAtNode('policy', 'init', document),
+		await runAtNode('policy', 'init', document),
+		await runAtNode('policy', 'validate', patch),
+		await runAtNode('policy', 'patch', patch),
+		await runAtNode('policy', 'patch', patch),
+		await runAtNode('policy', 'patch', patch, '--patch-id', 'p2', '--json'),
+		await runAtNode('policy', 'patch', patch, '--patch-id', 'p2', '--base-version', '2', '--json'),
+		await runAtNode('policy', 'wait', '3'),
+		await runAtNode('nodes'),
+		await runAtNode('status'),
+	];
+	t.snapshot(runs);
+	const diff = await runAtNode('policy', 'diff', wanted, '--json');
+	const {patchId, ...rest} = JSON.parse(diff.stdout) as {patchId: string};
+	t.snapshot(rest);
+	const history = await runAtNode('policy', 'history', '--json');
+	t.is((JSON.parse(history.stdout) as {patches: unknown[]}).patches.length, 3);
+});
+
+test('waiting ends with a status of its own when a reachable node stays behind', async t => {
+	const {server, run: runAtNode, file} = await open(t);
+	await runAtNode('policy', 'init', await file('policy.json', sampleDocument));
+	const member = {
+		nodeId: 'late', incarnation: 'late-1', availabilityZone: 'b', region: 'perth-metro', address: '127.0.0.1', callerPort: 1, state: 'serving', slots: 1, policyVersion: 0,
+	};
+	server.members = [member, {...member, nodeId: 'cut-off', state: 'suspect'}];
+	t.snapshot(await runAtNode('policy', 'wait', '1', '--timeout-ms', '300'));
+	server.members = [{...member, policyVersion: 1}, {...member, nodeId: 'cut-off', state: 'suspect'}];
+	t.snapshot(await runAtNode('policy', 'wait', '1', '--timeout-ms', '300'));
+});
+
+test('failures are told by exit status', async t => {
+	const {store, run: runAtNode, file} = await open(t);
+	await runAtNode('policy', 'init', await file('policy.json', sampleDocument));
+	const operations = await file('operations.json', replaceTimeout);
+	const bad = await file('bad.json', [{op: 'remove', path: '/services/9'}]);
+	const runs = [
+		await runAtNode('policy', 'patch', operations),
+		await runAtNode('policy', 'patch', 'nowhere.json'),
+		await runAtNode('policy', 'patch', bad, '--base-version', '1'),
+		await runAtNode('policy', 'patch', await file('none.json', []), '--base-version', '1'),
+	];
+	store.isAway = true;
+	runs.push(await runAtNode('policy', 'patch', operations, '--base-version', '1', '--patch-id', 'p1'));
+	store.isAway = false;
+	store.beforeSwap = () => {
+		store.isAway = true;
+		store.answersToLose = 1;
+	};
+
+	runs.push(await runAtNode('policy', 'patch', operations, '--base-version', '1', '--patch-id', 'p1', '--timeout-ms', '500'));
+	t.snapshot(runs);
+	t.deepEqual(runs.map(({status}) => status), [
+		ExitStatus.UsageInvalid, ExitStatus.UsageInvalid, ExitStatus.PolicyInvalid, ExitStatus.Ok, ExitStatus.Unavailable, ExitStatus.OutcomeUnknown,
+	]);
+});
--- a/src/services/policy/policy-writer.ts
+++ b/src/services/policy/policy-writer.ts
@@ -36,7 +36,7 @@
 	Throws `store-unavailable` when the signal ends that first; then the change may have been accepted.
 	*/
 	async write(proposal: Proposal, signal: AbortSignal): Promise<PatchResult> {
-		let found = await this.read(signal);
+		let found = await this.readFirst(signal);
 		let isSent = false;
 		const backoff = this.backoff();
 		for (;;) {
@@ -58,6 +58,16 @@
 		}
 	}
 
+	private async readFirst(signal: AbortSignal): Promise<WrittenPolicy | undefined> {
+		try {
+			return await this.read(signal);
+		} catch (error) {
+			throw new KumquatlineError(ErrorKind.StoreUnavailable, `nothing was changed: ${(error as Error).message}`, {
+				execution: Execution.NotRun, started: false, cause: error,
+			});
+		}
+	}
+
 	/** The version that the proposal has become, if it was accepted. */
 	private findAccepted(policy: Policy | undefined, {patchId, digest}: Proposal): number | undefined {
 		const record = policy?.recentPatches.find(candidate => candidate.patchId === patchId);
--- a/src/services/policy/test/operator-routes.test.ts
+++ b/src/services/policy/test/operator-routes.test.ts
@@ -1,35 +1,22 @@
-import {createServer} from 'node:http';
-import {type AddressInfo} from 'node:net';
-import createRouter from 'find-my-way';
 import test from 'ava';
 import {request} from 'undici';
-import {OperatorRoutes} from '../operator-routes.js';
 import {MemoryStore} from './memory-store.js';
+import {OperatorServer} from './operator-server.js';
 import {PolicyNode} from './policy-node.js';
 import {sampleDocument} from './sample-document.js';
 
 type Exchange = {readonly status: number; readonly answer: any};
 
 async function openNode(teardown: (release: () => void) => void) {
-	const node = new PolicyNode('node', new MemoryStore(), new Map());
-	await node.policy.start(new AbortController().signal);
-	const router = createRouter();
-	new OperatorRoutes(node.policy).register(router);
-	const server = createServer((incoming, response) => {
-		router.lookup(incoming, response);
-	});
-	await new Promise<void>(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
-	});
+	const server = new OperatorServer(new PolicyNode('node', new MemoryStore(), new Map()));
 	teardown(() => {
-		server.closeAllConnections();
-		server.close();
-		node.dispose();
+		server.dispose();
 	});
-	const base = `http://127.0.0.1:${(server.address() as AddressInfo).port}/kumquatline/policy`;
+	await server.listen();
 	return async (path: string, body?: unknown): Promise<Exchange> => {
 		const text = typeof body === 'string' ? body : JSON.stringify(body);
-		const response = await request(base + path, body === undefined ? {} : {method: 'POST', body: text});
+		const url = `${server.url}/kumquatline/policy${path}`;
+		const response = await request(url, body === undefined ? {} : {method: 'POST', body: text});
 		return {status: response.statusCode, answer: await response.body.json()};
 	};
 }
