Prove at most once and told not run over seeded schedules in one process

Cause: decision tests take one order of events each; the orders that break such a mechanism are the ones nobody thinks of. Change: fast-check draws schedules of re-sent ids and up to three kinds of faults (kills, freezes, cuts, isolation, store outages, lost and late answers, false suspicion, shedding, broken answers, planned leaves) for four nodes under a paused clock; the history is checked by the predicates in prove/history. findLateAttempts is the form of told-not-run for callers that send several attempts at once.

--- /dev/null
+++ b/prove/ownership/make-schedule.ts
@@ -0,0 +1,38 @@
+import fc from 'fast-check';
+import {MeshAction} from './mesh-action.js';
+import {type MeshStep} from './mesh-step.js';
+
+type ScheduleSize = {
+	readonly nodes: number;
+	readonly ids: number;
+	readonly sends: number;
+	readonly faults: number;
+	readonly lengthMs: number;
+};
+
+/** How many ids are repeated at about the same time. */
+const concurrentIds = 4;
+/** Kinds of faults in one schedule at most: the fewer, the more of them coincide. */
+const faultKinds = 3;
+const longestFaultMs = 8000;
+const faultActions = Object.values(MeshAction).filter(action => action !== MeshAction.Send);
+
+/** Draws a schedule of sends and faults from a seed, in the order of time. */
+export function makeSchedule(seed: number, size: ScheduleSize): readonly MeshStep[] {
+	const step = (action: fc.Arbitrary<MeshAction>, others: number) => fc.record({
+		action,
+		atMs: fc.nat(size.lengthMs),
+		durationMs: fc.nat(longestFaultMs),
+		node: fc.nat(size.nodes - 1),
+		other: fc.nat(others - 1),
+	});
+	const sendStep = step(fc.constant(MeshAction.Send), concurrentIds).map(send => {
+		const newest = Math.floor(send.atMs * size.ids / size.lengthMs);
+		return {...send, other: Math.min(size.ids - 1, Math.max(0, newest - send.other))};
+	});
+	const sends = fc.array(sendStep, {minLength: size.sends, maxLength: size.sends});
+	const faults = fc.shuffledSubarray(faultActions, {minLength: 1, maxLength: faultKinds}).chain(actions =>
+		fc.array(step(fc.constantFrom(...actions), size.nodes), {minLength: size.faults, maxLength: size.faults}));
+	const [schedule] = fc.sample(fc.tuple(sends, faults), {seed, numRuns: 1});
+	return schedule.flat().sort((one, other) => one.atMs - other.atMs);
+}
--- /dev/null
+++ b/prove/ownership/mesh-step.ts
@@ -0,0 +1,12 @@
+import {type MeshAction} from './mesh-action.js';
+
+/** One step of a schedule. */
+export type MeshStep = {
+	readonly action: MeshAction;
+	readonly atMs: number;
+	readonly durationMs: number;
+	/** Index of the node; for a cut, of the one end. */
+	readonly node: number;
+	/** Index of the other end of a cut, or of the id that is sent. */
+	readonly other: number;
+};
--- a/prove/proofs.ts
+++ b/prove/proofs.ts
@@ -1,4 +1,5 @@
+import {meshProof} from './ownership/mesh-proof.js';
 import {type Proof} from './proof.js';
 
 /** Every proof there is; each area adds its own here. */
-export const proofs: readonly Proof[] = [];
+export const proofs: readonly Proof[] = [meshProof];
--- a/src/services/ownership/test/mesh/mesh-backends.ts
+++ b/src/services/ownership/test/mesh/mesh-backends.ts
@@ -13,6 +13,8 @@
 	readonly atMs: number;
 	readonly enteredAtMs: number;
 	readonly sentBy: string;
+	/** Value of the header `attempt`, by which a caller tells its attempts apart. */
+	readonly attemptId: string | undefined;
 };
 
 /** The backend servers of a mesh, which record what they execute. */
@@ -35,7 +37,7 @@
 
 		const {requestId, context: {rootId, enteredAtMs}} = request;
 		this.executions.push({
-			requestId, rootId, enteredAtMs, sentBy, atMs: Date.now(),
+			requestId, rootId, enteredAtMs, sentBy, atMs: Date.now(), attemptId: request.headers.attempt,
 		});
 		await this.conditions.pause(this.workMs * (1 + this.conditions.random.next()));
 		if (this.conditions.chance(this.failedShare)) {
--- a/src/services/ownership/test/mesh/mesh-conditions.ts
+++ b/src/services/ownership/test/mesh/mesh-conditions.ts
@@ -7,6 +7,8 @@
 export class MeshConditions {
 	/** Share of answers between nodes that are lost after the work was done. */
 	lostAnswerShare = 0;
+	/** Most that each message is late besides. */
+	extraDelayMs = 0;
 	/** Share of the store's answers that are lost after the change took effect. */
 	lostStoreAnswerShare = 0;
 	readonly random: SeededRandom;
@@ -34,7 +36,7 @@
 
 	/** The time that a message takes. */
 	async transit(): Promise<void> {
-		await this.pause(leastDelayMs + Math.floor(this.random.next() * delayRangeMs));
+		await this.pause(leastDelayMs + Math.floor(this.random.next() * (delayRangeMs + this.extraDelayMs)));
 	}
 
 	async pause(durationMs: number): Promise<void> {
