Add the bench of the latency that the layer adds

Real processes, one hop, one request at a time; the layer, the backend server straight and a bare floor of the same hops take turns within each round.

--- /dev/null
+++ b/bench/added-latency/run.ts
@@ -0,0 +1,88 @@
+import {fileURLToPath} from 'node:url';
+import {ChildProgram} from '../../standins/graph/child-program.js';
+import {ProcessGraph} from '../../standins/graph/process-graph.js';
+import {type BenchOptions} from '../bench-options.js';
+import {addedLatencyPlan} from './added-latency-plan.js';
+import {LatencyPath} from './latency-path.js';
+import {percentileOf} from './percentile-of.js';
+
+type Method = 'GET' | 'POST';
+
+const warmUpRounds = 1000;
+const defaultRounds = 4000;
+const floorUpstreamFile = fileURLToPath(new URL('floor-upstream.js', import.meta.url));
+const floorEntryFile = fileURLToPath(new URL('floor-entry.js', import.meta.url));
+const isReady = (line: Readonly<Record<string, unknown>>) => line.ready === true;
+
+/**
+Time that the layer adds to a call at light load over one hop: one request at a time, in turn over the layer,
+straight to the same backend server, and over the same hops without decisions (the floor).
+*/
+export async function run({seed, args}: BenchOptions): Promise<unknown> {
+	const roundsIndex = args.indexOf('--rounds');
+	const rounds = roundsIndex === -1 ? defaultRounds : Number(args[roundsIndex + 1]);
+	const graph = new ProcessGraph(addedLatencyPlan(seed));
+	const floor: ChildProgram[] = [];
+	try {
+		await graph.start();
+		const upstream = graph.node('upstream');
+		const floorUpstreamPort = await startFloor(floor, floorUpstreamFile, upstream.backendServerPort);
+		const floorEntryPort = await startFloor(floor, floorEntryFile, floorUpstreamPort);
+		const paths = [
+			new LatencyPath('layer', graph.node('entry').url),
+			new LatencyPath('straight', upstream.backendServerUrl),
+			new LatencyPath('floor', `http://127.0.0.1:${floorEntryPort}`),
+		];
+		const report = {
+			rounds,
+			read: await compare(paths, 'GET', '/stock/7', rounds),
+			book: await compare(paths, 'POST', '/bookings', rounds),
+		};
+		await Promise.all(paths.map(async path => path.close()));
+		return report;
+	} finally {
+		await graph.dispose();
+		await Promise.all(floor.map(async program => program.kill()));
+	}
+}
+
+async function startFloor(floor: ChildProgram[], file: string, port: number): Promise<number> {
+	const program = new ChildProgram('floor', [file, String(port)], isReady);
+	floor.push(program);
+	const line = await program.start();
+	return Number(line.port);
+}
+
+/** Sends a request over each path in turn, so that the machine's noise falls on all alike. */
+async function compare(paths: readonly LatencyPath[], method: Method, path: string, rounds: number) {
+	const [layer, straight, floor] = paths;
+	await measureRounds(paths, method, path, warmUpRounds);
+	for (const measured of paths) {
+		measured.reset();
+	}
+
+	const addedMs = await measureRounds(paths, method, path, rounds);
+	return {
+		...Object.fromEntries(paths.map(measured => [measured.name, {p50Ms: measured.percentileMs(50), p99Ms: measured.percentileMs(99)}])),
+		ratioToFloor: {p50: layer.percentileMs(50) / floor.percentileMs(50), p99: layer.percentileMs(99) / floor.percentileMs(99)},
+		/** Difference of the percentiles over the layer and straight. */
+		added: {p50Ms: layer.percentileMs(50) - straight.percentileMs(50), p99Ms: layer.percentileMs(99) - straight.percentileMs(99)},
+		/** Percentiles of the difference between the two requests of one round. */
+		addedByRound: {p50Ms: percentileOf(addedMs, 50), p99Ms: percentileOf(addedMs, 99)},
+	};
+}
+
+async function measureRounds(paths: readonly LatencyPath[], method: Method, path: string, rounds: number): Promise<number[]> {
+	const addedMs: number[] = [];
+	for (let round = 0; round < rounds; round++) {
+		const latenciesMs: number[] = [];
+		for (let turn = 0; turn < paths.length; turn++) {
+			const index = (round + turn) % paths.length;
+			latenciesMs[index] = await paths[index].measure(method, path, crypto.randomUUID());
+		}
+
+		addedMs.push(latenciesMs[0] - latenciesMs[1]);
+	}
+
+	return addedMs;
+}
