Prove the policy's promises on seeded concurrent runs

Found and mended, each with its test: a call in flight at disposal ended the process by an unhandled rejection; an attempt that could not read the store said not-run of a patch id that an earlier attempt may have had accepted; a conflict on a version more than 64 back did the same. Change: prove/policy (real policy, store and peer services against the stand-in); naive counterparts by last write and by any event.

--- /dev/null
+++ b/prove/policy/policy-proof.ts
@@ -0,0 +1,41 @@
+import {StoredPolicyService} from '../../src/services/policy/stored-policy-service.js';
+import {AnyEventPolicyService} from '../naive/any-event-policy-service.js';
+import {LastWritePolicyService} from '../naive/last-write-policy-service.js';
+import {type Proof} from '../proof.js';
+import {type ProofReport} from '../proof-report.js';
+import {ProofVariant} from '../proof-variant.js';
+import {checkPolicyHistory} from './check-policy-history.js';
+import {PolicyEventKind} from './policy-event-kind.js';
+import {PolicyRun} from './policy-run.js';
+import {policySchedule} from './policy-schedule.js';
+
+/** Naive counterparts take turns by seed. */
+const naiveClasses = [LastWritePolicyService, AnyEventPolicyService];
+
+/** Versions are accepted or refused whole, in force everywhere within the bound, and never earlier at any node. */
+export class PolicyProof implements Proof {
+	get name(): string {
+		return 'policy';
+	}
+
+	get separateProcesses(): boolean {
+		return false;
+	}
+
+	async run(seed: number, variant: ProofVariant): Promise<ProofReport> {
+		const policyClass = variant === ProofVariant.Real ? StoredPolicyService : naiveClasses[seed % naiveClasses.length];
+		const run = new PolicyRun(seed, policyClass);
+		await run.run(policySchedule(seed));
+		const count = (kind: PolicyEventKind): number => run.events.filter(event => event.kind === kind).length;
+		return {
+			schedules: 1,
+			faultsByKind: run.faultsByKind,
+			ids: run.patchCount,
+			executions: count(PolicyEventKind.Stored),
+			refusalsByKind: run.refusalsByKind,
+			unknowns: count(PolicyEventKind.Unknown),
+			unexplainedUnknowns: 0,
+			violations: checkPolicyHistory(run.events),
+		};
+	}
+}
--- /dev/null
+++ b/prove/policy/zoned-peer-service.ts
@@ -0,0 +1,26 @@
+import {ErrorKind} from '../../src/base/error-kind.js';
+import {KumquatlineError} from '../../src/base/kumquatline-error.js';
+import {LogService} from '../../src/platform/log/log-service.js';
+import {MetricsService} from '../../src/platform/metrics/metrics-service.js';
+import {FramedPeerService} from '../../src/platform/peer/framed-peer-service.js';
+import {type PeerAddress} from '../../src/platform/peer/peer-address.js';
+import {type PeerMethod} from '../../src/platform/peer/peer-method.js';
+import {type PeerCallOptions} from '../../src/platform/peer/peer-service.js';
+import {SettingsService} from '../../src/platform/settings/settings-service.js';
+
+/** Calls between nodes that a partition of the availability zones can prevent. */
+export class ZonedPeerService extends FramedPeerService {
+	canReach: ((peer: PeerAddress) => boolean) | undefined;
+
+	constructor(@SettingsService settingsService: SettingsService, @LogService log: LogService, @MetricsService metrics: MetricsService) {
+		super(settingsService, log, metrics);
+	}
+
+	override async call<P, R>(peer: PeerAddress, method: PeerMethod<P, R>, params: P, options: PeerCallOptions): Promise<R> {
+		if (this.canReach?.(peer) === false) {
+			throw new KumquatlineError(ErrorKind.PeerUnreachable, `${peer.nodeId} is cut off`);
+		}
+
+		return super.call(peer, method, params, options);
+	}
+}
--- a/src/platform/store/etcd-connection.ts
+++ b/src/platform/store/etcd-connection.ts
@@ -4,6 +4,7 @@
 import {Emitter} from '../../base/emitter.js';
 import {type Event} from '../../base/event.js';
 import {ErrorKind} from '../../base/error-kind.js';
+import {ignoreRejection} from '../../base/ignore-rejection.js';
 import {KumquatlineError} from '../../base/kumquatline-error.js';
 import {etcdMessages} from './etcd-messages.js';
 
@@ -36,6 +37,7 @@
 	private urlIndex = 0;
 	private pool: Pool;
 	private isReachable = false;
+	private isDisposed = false;
 
 	constructor(private readonly settings: ConnectionSettings) {
 		this.onDidChangeReach = this.reachEmitter.event;
@@ -61,7 +63,7 @@
 		try {
 			return await this.attempt(path, body, answerType, probeAfterMs, options.signal);
 		} catch (error) {
-			if (options.signal?.aborted) {
+			if (this.isDisposed || options.signal?.aborted === true) {
 				throw error;
 			}
 
@@ -70,8 +72,9 @@
 	}
 
 	dispose(): void {
+		this.isDisposed = true;
 		this.reachEmitter.dispose();
-		void this.pool.destroy();
+		void ignoreRejection(this.pool.destroy());
 	}
 
 	private async attempt<T extends z.ZodType>(path: string, body: unknown, answerType: T, timeoutMs: number, signal?: AbortSignal): Promise<z.infer<T> | undefined> {
@@ -115,14 +118,14 @@
 
 	private abandon(pool: Pool): void {
 		this.noteReach(false);
-		if (this.pool !== pool) {
+		if (this.pool !== pool || this.isDisposed) {
 			return;
 		}
 
 		this.urlIndex = (this.urlIndex + 1) % this.settings.urls.length;
 		this.pool = this.openPool();
 		// Calls that still wait on the old connections run into their own time limits.
-		void pool.close();
+		void ignoreRejection(pool.close());
 	}
 
 	private openPool(): Pool {
--- a/src/platform/store/etcd-watch-stream.ts
+++ b/src/platform/store/etcd-watch-stream.ts
@@ -90,6 +90,6 @@
 	private fail(error: Error): void {
 		this.created.reject(error);
 		this.ended.reject(error);
-		void this.client.destroy();
+		void ignoreRejection(this.client.destroy());
 	}
 }
--- a/src/programs/cli/exit-status-of.ts
+++ b/src/programs/cli/exit-status-of.ts
@@ -12,8 +12,8 @@
 ]);
 
 /** The exit status that a node's refusal or failure leads to. */
-export function exitStatusOf({kind, execution}: z.infer<typeof problem>): ExitStatus {
-	if (kind === ErrorKind.StoreUnavailable && execution === Execution.Unknown) {
+export function exitStatusOf({kind, execution, started}: z.infer<typeof problem>): ExitStatus {
+	if (kind === ErrorKind.StoreUnavailable && execution === Execution.Unknown && started !== false) {
 		return ExitStatus.OutcomeUnknown;
 	}
 
--- a/src/programs/cli/exit-status.ts
+++ b/src/programs/cli/exit-status.ts
@@ -9,7 +9,7 @@
 	PolicyInvalid = 3,
 	/** Another version is in force than the one that the patch names; nothing was changed. */
 	PolicyConflict = 4,
-	/** The node, or the store behind it, can't be reached; nothing was changed. */
+	/** The node, or the store behind it, can't be reached; this attempt changed nothing. */
 	Unavailable = 5,
 	/** The change may have been accepted: submit it again under the same patch id. */
 	OutcomeUnknown = 6,
--- a/src/programs/cli/problem.ts
+++ b/src/programs/cli/problem.ts
@@ -7,4 +7,5 @@
 	kind: z.enum(ErrorKind),
 	detail: z.string(),
 	execution: z.enum(Execution).optional(),
+	started: z.boolean().optional(),
 });
--- a/src/services/policy/make-patched-policy.ts
+++ b/src/services/policy/make-patched-policy.ts
@@ -1,5 +1,7 @@
 import {type z} from 'zod';
 import {ErrorKind} from '../../base/error-kind.js';
+import {Execution} from '../../base/execution.js';
+import {KumquatlineError} from '../../base/kumquatline-error.js';
 import {applyPatchRecord} from './apply-patch-record.js';
 import {policyDigest} from './policy-digest.js';
 import {type policyPatchSchema} from './policy-patch-schema.js';
@@ -14,7 +16,9 @@
 	}
 
 	if (base.version !== baseVersion) {
-		throw policyRefusal(ErrorKind.PolicyConflict, `the patch is based on version ${baseVersion} but version ${base.version} is in force`);
+		throw new KumquatlineError(ErrorKind.PolicyConflict, `the patch is based on version ${baseVersion} but version ${base.version} is in force`, {
+			execution: isRemembered(base, baseVersion) ? Execution.NotRun : Execution.Unknown, started: false,
+		});
 	}
 
 	return applyPatchRecord(base, {
@@ -25,3 +29,8 @@
 		operations,
 	});
 }
+
+/** Whether the policy still knows what became of its base version, so that an unknown patch id was certainly not accepted. */
+function isRemembered(policy: Policy, baseVersion: number): boolean {
+	return baseVersion > policy.version || policy.recentPatches.some(record => record.version === baseVersion + 1);
+}
--- a/src/services/policy/policy-writer.ts
+++ b/src/services/policy/policy-writer.ts
@@ -62,8 +62,8 @@
 		try {
 			return await this.read(signal);
 		} catch (error) {
-			throw new KumquatlineError(ErrorKind.StoreUnavailable, `nothing was changed: ${(error as Error).message}`, {
-				execution: Execution.NotRun, started: false, cause: error,
+			throw new KumquatlineError(ErrorKind.StoreUnavailable, `this attempt changed nothing: ${(error as Error).message}`, {
+				execution: Execution.Unknown, started: false, cause: error,
 			});
 		}
 	}
--- a/src/services/policy/test/stored-policy-service.test.ts
+++ b/src/services/policy/test/stored-policy-service.test.ts
@@ -165,3 +165,26 @@
 	await clock.tickAsync(5000);
 	t.like(await outcome, {kind: ErrorKind.StoreUnavailable, execution: 'unknown'});
 });
+
+test.serial('an attempt that can\'t read the store says nothing of earlier attempts', async t => {
+	const {nodes: [node], store} = await startNodes(1);
+	await node.policy.initialize(sampleDocument, noSignal);
+	await node.policy.submit(importanceOf('normal', 'p1', 1), noSignal);
+	store.isAway = true;
+	const error = await t.throwsAsync(node.policy.submit(importanceOf('normal', 'p1', 1), noSignal));
+	t.like(error, {kind: ErrorKind.StoreUnavailable, execution: 'unknown', started: false});
+});
+
+test.serial('a conflict on a version long past says nothing of the patch id', async t => {
+	const {nodes: [node]} = await startNodes(1);
+	await node.policy.initialize(sampleDocument, noSignal);
+	for (let version = 1; version <= 70; version++) {
+		await node.policy.submit(importanceOf(version % 2 === 0 ? 'normal' : 'high', `p${version}`, version), noSignal);
+	}
+
+	const old = await t.throwsAsync(node.policy.submit(importanceOf('high', 'p1', 1), noSignal));
+	t.like(old, {kind: ErrorKind.PolicyConflict, execution: 'unknown', started: false});
+	const recent = await t.throwsAsync(node.policy.submit(importanceOf('high', 'other', 60), noSignal));
+	t.like(recent, {kind: ErrorKind.PolicyConflict, execution: 'not-run', started: false});
+	t.is(node.policy.current.recentPatches.length, 64);
+});
--- a/standins/store/store-stand-in.ts
+++ b/standins/store/store-stand-in.ts
@@ -14,10 +14,12 @@
 
 const writePaths = new Set(['/v3/kv/txn', '/v3/lease/grant', '/v3/lease/revoke', '/v3/lease/keepalive']);
 
-/** Stand-in for the platform's key-value store: a subset of the etcd v3 JSON gateway, in memory, with faults on demand. */
+/**
+Stand-in for the platform's key-value store: a subset of the etcd v3 JSON gateway, in memory, with faults on demand.
+Several with one state are one store as it is reached from several availability zones.
+*/
 export class StoreStandIn implements Disposable {
-	readonly state = new StoreState();
-	private readonly requests = new StoreRequests(this.state);
+	private readonly requests: StoreRequests;
 	private readonly server: Server;
 	private readonly sockets = new Set<Socket>();
 	private readonly silentSockets = new WeakSet<Socket>();
@@ -29,7 +31,8 @@
 	private loseAnswers = 0;
 	private random: RandomGenerator = xoroshiro128plus(1);
 
-	constructor() {
+	constructor(readonly state: StoreState = new StoreState()) {
+		this.requests = new StoreRequests(state);
 		this.server = createServer((request, response) => {
 			void this.handle(request, response);
 		});
--- a/standins/store/test/etcd-store-service.test.ts
+++ b/standins/store/test/etcd-store-service.test.ts
@@ -128,3 +128,13 @@
 	await recorder.waitFor('/w/b', 'two');
 	t.pass();
 });
+
+test('a call that runs when the client is disposed only fails', async t => {
+	const {store, standIn, dispose} = await openStore(t, {slowMs: 50});
+	const call = t.throwsAsync(store.get('/a'), {message: /did not answer/v});
+	await sleep(pollMs);
+	dispose();
+	await call;
+	await sleep(pollMs);
+	t.is(standIn.openWatches, 0);
+});
--- a/standins/store/test/open-store.ts
+++ b/standins/store/test/open-store.ts
@@ -11,8 +11,15 @@
 	teardown(release: () => void): void;
 };
 
+type OpenStore = {
+	readonly standIn: StoreStandIn;
+	readonly store: StoreService;
+	/** Disposes the client. */
+	readonly dispose: () => void;
+};
+
 /** Starts a stand-in and a client of it, both ended with the test. */
-export async function openStore(t: Teardown, faults: StoreFaults = {}): Promise<{standIn: StoreStandIn; store: StoreService}> {
+export async function openStore(t: Teardown, faults: StoreFaults = {}): Promise<OpenStore> {
 	const standIn = new StoreStandIn();
 	await standIn.listen();
 	standIn.setFaults(faults);
@@ -26,5 +33,11 @@
 		kernel.dispose();
 		standIn.dispose();
 	});
-	return {standIn, store: kernel.get(StoreService)};
+	return {
+		standIn,
+		store: kernel.get(StoreService),
+		dispose() {
+			kernel.dispose();
+		},
+	};
 }
