Add the run that replaces VMs under load

Cause: graceful shutdown needs a history of its own: nothing in flight cut, ids answered as before after a hand-over.

--- a/prove/history/event-kind.ts
+++ b/prove/history/event-kind.ts
@@ -10,6 +10,8 @@
 	Began = 'began',
 	/** A backend server ended an execution. */
 	Ended = 'ended',
-	/** A fault began or ended. */
+	/** A fault began. */
 	Fault = 'fault',
+	/** What a fault touched is as before. */
+	Healed = 'healed',
 }
--- /dev/null
+++ b/prove/history/find-changed-answers.ts
@@ -0,0 +1,22 @@
+import {EventKind} from './event-kind.js';
+import {type HistoryEvent} from './history-event.js';
+
+/** Every attempt of an id that gets its answer gets the same one. */
+export function findChangedAnswers(events: readonly HistoryEvent[]): string[] {
+	const first = new Map<string, string>();
+	const violations: string[] = [];
+	for (const {kind, status, requestId = '', answerDigest = ''} of events) {
+		if (kind !== EventKind.Answered || status !== 200) {
+			continue;
+		}
+
+		const digest = first.get(requestId);
+		if (digest !== undefined && digest !== answerDigest) {
+			violations.push(`${requestId} was answered twice and not alike`);
+		}
+
+		first.set(requestId, answerDigest);
+	}
+
+	return violations;
+}
--- a/prove/history/history-event.ts
+++ b/prove/history/history-event.ts
@@ -22,6 +22,8 @@
 	/** Mark of the request that an answer has to carry. */
 	readonly mark?: string;
 	readonly answerMark?: string;
+	/** Digest of the whole answer. */
+	readonly answerDigest?: string;
 	/** Kind of a fault. */
 	readonly fault?: string;
 };
--- a/prove/process/attempt-sender.ts
+++ b/prove/process/attempt-sender.ts
@@ -26,13 +26,20 @@
 		this.attempts++;
 		const {requestId, traceId} = charge;
 		const attempt = {
-			requestId, traceId, nodeId, attemptId: String(this.attempts), mark: markOf(charge.body),
+			requestId, traceId, nodeId, attemptId: String(this.attempts), mark: digestOf(charge.body),
 		};
 		this.history.record({kind: EventKind.Sent, ...attempt});
 		try {
-			const {status, answer} = await this.post(charge, nodeId);
+			const {status, answer, digest} = await this.post(charge, nodeId);
 			this.history.record({
-				kind: EventKind.Answered, ...attempt, status, answerMark: answer.bodyDigest, errorKind: answer.kind, execution: answer.execution, started: answer.started,
+				kind: EventKind.Answered,
+				...attempt,
+				status,
+				answerMark: answer.bodyDigest,
+				answerDigest: digest,
+				errorKind: answer.kind,
+				execution: answer.execution,
+				started: answer.started,
 			});
 		} catch {
 			this.history.record({kind: EventKind.Lost, ...attempt});
@@ -43,7 +50,7 @@
 		await this.agent.destroy();
 	}
 
-	private async post({requestId, traceId, path, body}: ChargeRequest, nodeId: string): Promise<{status: number; answer: Answer}> {
+	private async post({requestId, traceId, path, body}: ChargeRequest, nodeId: string): Promise<{status: number; answer: Answer; digest: string}> {
 		const response = await request(`${this.graph.node(nodeId).url}${path}`, {
 			method: 'POST',
 			headers: {
@@ -55,7 +62,8 @@
 			dispatcher: this.agent,
 			signal: AbortSignal.timeout(attemptTimeoutMs),
 		});
-		return {status: response.statusCode, answer: await response.body.json() as Answer};
+		const text = await response.body.text();
+		return {status: response.statusCode, answer: JSON.parse(text) as Answer, digest: digestOf(text)};
 	}
 }
 
@@ -66,6 +74,6 @@
 	readonly started?: boolean;
 };
 
-function markOf(body: string): string {
-	return createHash('sha256').update(body).digest('hex');
+function digestOf(text: string): string {
+	return createHash('sha256').update(text).digest('hex');
 }
--- a/prove/process/fault-proof.ts
+++ b/prove/process/fault-proof.ts
@@ -1,4 +1,5 @@
 import {fileURLToPath} from 'node:url';
+import {findChangedAnswers} from '../history/find-changed-answers.js';
 import {findExcessExecutions} from '../history/find-excess-executions.js';
 import {findFalseRefusals} from '../history/find-false-refusals.js';
 import {findForeignAnswers} from '../history/find-foreign-answers.js';
@@ -26,6 +27,7 @@
 			...findRepeatedExecutions(events),
 			...findFalseRefusals(events),
 			...findForeignAnswers(events),
+			...findChangedAnswers(events),
 			...findExcessExecutions(events, hops, retryTotal),
 		]);
 	},
--- a/prove/process/fault-run.ts
+++ b/prove/process/fault-run.ts
@@ -1,6 +1,4 @@
-import {Buffer} from 'node:buffer';
 import {setTimeout as delay} from 'node:timers/promises';
-import {v7 as uuidv7} from 'uuid';
 import {samplePlan} from '../../standins/graph/sample-plan.js';
 import {ProcessGraph} from '../../standins/graph/process-graph.js';
 import {EventKind} from '../history/event-kind.js';
@@ -8,6 +6,8 @@
 import {AttemptSender, type ChargeRequest} from './attempt-sender.js';
 import {FaultKind} from './fault-kind.js';
 import {injectFault} from './inject-fault.js';
+import {mintCharge} from './mint-charge.js';
+import {recordExecutions} from './record-executions.js';
 import {SeededChoices} from './seeded-choices.js';
 
 const idCount = 60;
@@ -33,20 +33,14 @@
 		this.graph = new ProcessGraph({
 			...plan, nodes, nodeFile, hasShards: nodeFile === undefined,
 		});
-		this.graph.onDidRecord(({nodeId, record}) => {
-			const kind = record.endedAtMs === undefined ? EventKind.Began : EventKind.Ended;
-			const {requestId, traceId, method} = record;
-			this.history.add([{
-				kind, atMs: record.endedAtMs ?? record.startedAtMs, requestId, traceId, nodeId, idempotent: method === 'GET',
-			}]);
-		});
+		recordExecutions(this.graph, this.history);
 	}
 
 	async run(): Promise<History> {
 		const sender = new AttemptSender(this.graph, this.history);
 		try {
 			await this.graph.start();
-			const charges = this.mintCharges();
+			const charges = Array.from({length: idCount}, (_, index) => mintCharge(this.choices, index));
 			const faults = this.planFaults();
 			await Promise.all([
 				...charges.map(async charge => this.sendAll(sender, charge)),
@@ -60,15 +54,6 @@
 		return this.history;
 	}
 
-	private mintCharges(): ChargeRequest[] {
-		return Array.from({length: idCount}, (_, index) => ({
-			requestId: uuidv7({random: this.choices.uuidBytes()}),
-			traceId: Buffer.from(this.choices.uuidBytes()).toString('hex'),
-			path: this.choices.pick(['/extensions', '/deliveries', '/job-sheets']),
-			body: JSON.stringify({charge: index}),
-		}));
-	}
-
 	private planFaults() {
 		const kinds = Object.values(FaultKind);
 		const nodeIds = this.graph.plan.nodes.map(({nodeId}) => nodeId);
--- /dev/null
+++ b/prove/process/mint-charge.ts
@@ -0,0 +1,14 @@
+import {Buffer} from 'node:buffer';
+import {v7 as uuidv7} from 'uuid';
+import {type ChargeRequest} from './attempt-sender.js';
+import {type SeededChoices} from './seeded-choices.js';
+
+/** A request that is not idempotent, with an id minted now. */
+export function mintCharge(choices: SeededChoices, index: number): ChargeRequest {
+	return {
+		requestId: uuidv7({random: choices.uuidBytes()}),
+		traceId: Buffer.from(choices.uuidBytes()).toString('hex'),
+		path: choices.pick(['/extensions', '/deliveries', '/job-sheets']),
+		body: JSON.stringify({charge: index}),
+	};
+}
--- /dev/null
+++ b/prove/process/record-executions.ts
@@ -0,0 +1,18 @@
+import {type ProcessGraph} from '../../standins/graph/process-graph.js';
+import {EventKind} from '../history/event-kind.js';
+import {type History} from '../history/history.js';
+
+/** Records every execution at the backend servers of a graph. */
+export function recordExecutions(graph: ProcessGraph, history: History): void {
+	graph.onDidRecord(({nodeId, record}) => {
+		const {requestId, traceId, method, startedAtMs, endedAtMs} = record;
+		history.add([{
+			kind: endedAtMs === undefined ? EventKind.Began : EventKind.Ended,
+			atMs: endedAtMs ?? startedAtMs,
+			requestId,
+			traceId,
+			nodeId,
+			idempotent: method === 'GET',
+		}]);
+	});
+}
--- /dev/null
+++ b/prove/process/shutdown-proof.ts
@@ -0,0 +1,27 @@
+import {fileURLToPath} from 'node:url';
+import {findChangedAnswers} from '../history/find-changed-answers.js';
+import {findCutRequests} from '../history/find-cut-requests.js';
+import {findRepeatedExecutions} from '../history/find-repeated-executions.js';
+import {type Proof} from '../proof.js';
+import {type ProofReport} from '../proof-report.js';
+import {ProofVariant} from '../proof-variant.js';
+import {reportHistory} from './report-history.js';
+import {ShutdownRun} from './shutdown-run.js';
+
+const naiveNodeFile = fileURLToPath(new URL('../naive/abrupt-node.js', import.meta.url));
+
+/** Graceful shutdown: VMs that are stopped under load cut nothing, and ids that were handed over answer as before. */
+export const shutdownProof: Proof = {
+	name: 'graceful-shutdown',
+	separateProcesses: true,
+
+	async run(seed: number, variant: ProofVariant): Promise<ProofReport> {
+		const run = new ShutdownRun(seed, variant === ProofVariant.Naive ? naiveNodeFile : undefined);
+		const {events} = await run.run();
+		return reportHistory(events, [
+			...findCutRequests(events),
+			...findChangedAnswers(events),
+			...findRepeatedExecutions(events),
+		]);
+	},
+};
--- /dev/null
+++ b/prove/process/shutdown-run.ts
@@ -0,0 +1,94 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {type NodePlan} from '../../standins/graph/graph-plan.js';
+import {samplePlan} from '../../standins/graph/sample-plan.js';
+import {ProcessGraph} from '../../standins/graph/process-graph.js';
+import {EventKind} from '../history/event-kind.js';
+import {History} from '../history/history.js';
+import {AttemptSender} from './attempt-sender.js';
+import {FaultKind} from './fault-kind.js';
+import {mintCharge} from './mint-charge.js';
+import {recordExecutions} from './record-executions.js';
+import {SeededChoices} from './seeded-choices.js';
+
+const nodeFlags = ['--lease-ttl-ms', '3000', '--lease-margin-ms', '500', '--gossip-interval-ms', '200'];
+const betweenRequestsMs = 15;
+const repeatAfterMs = 1000;
+/** Load goes on for this long after the last replacement, so that the last hand-over is asked about, too. */
+const tailMs = 500;
+
+/** Under load, stops the node and the backend server of one VM of each service, one VM after the other. */
+export class ShutdownRun {
+	readonly history = new History();
+	private readonly choices: SeededChoices;
+	private readonly graph: ProcessGraph;
+	private readonly sender: AttemptSender;
+	private readonly stopping = new Set<string>();
+	private finished = false;
+
+	constructor(seed: number, nodeFile?: string) {
+		this.choices = new SeededChoices(seed);
+		const plan = samplePlan(seed, nodeFlags);
+		const nodes = plan.nodes.map(node => ({...node, backendFlags: ['--print-history']}));
+		this.graph = new ProcessGraph({...plan, nodes, nodeFile});
+		this.sender = new AttemptSender(this.graph, this.history);
+		recordExecutions(this.graph, this.history);
+	}
+
+	async run(): Promise<History> {
+		try {
+			await this.graph.start();
+			await Promise.all([this.sendLoad(), this.replaceAll()]);
+		} finally {
+			await this.sender.dispose();
+			await this.graph.dispose();
+		}
+
+		return this.history;
+	}
+
+	private async sendLoad(): Promise<void> {
+		const sent: Array<Promise<void>> = [];
+		for (let index = 0; !this.finished; index++) {
+			sent.push(this.sendTwice(index));
+			await delay(betweenRequestsMs);
+		}
+
+		await Promise.all(sent);
+	}
+
+	/** A charge and, some time later, its repeat at another node. */
+	private async sendTwice(index: number): Promise<void> {
+		const charge = mintCharge(this.choices, index);
+		await this.sender.send(charge, this.chooseNode());
+		await delay(repeatAfterMs);
+		await this.sender.send(charge, this.chooseNode());
+	}
+
+	private chooseNode(): string {
+		const nodeIds = this.graph.plan.nodes.map(({nodeId}) => nodeId).filter(nodeId => !this.stopping.has(nodeId));
+		return this.choices.pick(nodeIds);
+	}
+
+	private async replaceAll(): Promise<void> {
+		const services = [...new Set(this.graph.plan.nodes.map(({service}) => service))];
+		for (const service of services) {
+			const plans = this.graph.plan.nodes.filter(plan => plan.service === service);
+			await this.replace(this.choices.pick(plans));
+		}
+
+		await delay(tailMs);
+		this.finished = true;
+	}
+
+	private async replace(plan: NodePlan): Promise<void> {
+		const {nodeId} = plan;
+		this.stopping.add(nodeId);
+		this.history.record({kind: EventKind.Fault, nodeId, fault: FaultKind.ReplaceVm});
+		const program = this.graph.node(nodeId);
+		await Promise.all([program.node.terminate(), program.terminateBackend()]);
+		await this.graph.startNode(plan);
+		await this.graph.whenSettled();
+		this.stopping.delete(nodeId);
+		this.history.record({kind: EventKind.Healed, nodeId});
+	}
+}
