Prove the retry total down a chain of six services

Cause: the promise is about the whole chain, so it needs one deep enough for retries to multiply. Change: a run of twelve VMs, every hop failing three times in ten, callers re-sending to other nodes, an owner killed; the bound is checked for each service, since a retry high in the chain executes those below it once more.

--- a/prove/process/attempt-sender.ts
+++ b/prove/process/attempt-sender.ts
@@ -7,11 +7,12 @@
 
 const attemptTimeoutMs = 6000;
 
-export type ChargeRequest = {
+export type CallerRequest = {
 	readonly requestId: string;
 	readonly traceId: string;
 	readonly path: string;
-	readonly body: string;
+	/** Undefined for a read. */
+	readonly body?: string;
 };
 
 /** Sends callers' attempts to nodes and records what callers see. */
@@ -22,15 +23,15 @@
 	constructor(private readonly graph: ProcessGraph, private readonly history: History) {}
 
 	/** Sends one attempt; resolves with its end, whatever that is. */
-	async send(charge: ChargeRequest, nodeId: string): Promise<void> {
+	async send(sent: CallerRequest, nodeId: string): Promise<void> {
 		this.attempts++;
-		const {requestId, traceId} = charge;
+		const {requestId, traceId} = sent;
 		const attempt = {
-			requestId, traceId, nodeId, attemptId: String(this.attempts), mark: digestOf(charge.body),
+			requestId, traceId, nodeId, attemptId: String(this.attempts), mark: digestOf(sent.body ?? ''),
 		};
 		this.history.record({kind: EventKind.Sent, ...attempt});
 		try {
-			const {status, answer, digest} = await this.post(charge, nodeId);
+			const {status, answer, digest} = await this.post(sent, nodeId);
 			this.history.record({
 				kind: EventKind.Answered,
 				...attempt,
@@ -50,15 +51,15 @@
 		await this.agent.destroy();
 	}
 
-	private async post({requestId, traceId, path, body}: ChargeRequest, nodeId: string): Promise<{status: number; answer: Answer; digest: string}> {
+	private async post({requestId, traceId, path, body}: CallerRequest, nodeId: string): Promise<{status: number; answer: Answer; digest: string}> {
 		const response = await request(`${this.graph.node(nodeId).url}${path}`, {
-			method: 'POST',
+			method: body === undefined ? 'GET' : 'POST',
 			headers: {
 				'content-type': 'application/json',
 				'idempotency-key': requestId,
 				traceparent: `00-${traceId}-0000000000000001-01`,
 			},
-			body,
+			body: body ?? null,
 			dispatcher: this.agent,
 			signal: AbortSignal.timeout(attemptTimeoutMs),
 		});
--- a/prove/process/fault-run.ts
+++ b/prove/process/fault-run.ts
@@ -3,7 +3,7 @@
 import {ProcessGraph} from '../../standins/graph/process-graph.js';
 import {EventKind} from '../history/event-kind.js';
 import {History} from '../history/history.js';
-import {AttemptSender, type ChargeRequest} from './attempt-sender.js';
+import {AttemptSender, type CallerRequest} from './attempt-sender.js';
 import {FaultKind} from './fault-kind.js';
 import {injectFault} from './inject-fault.js';
 import {mintCharge} from './mint-charge.js';
@@ -75,7 +75,7 @@
 	}
 
 	/** Sends the attempts of one id to nodes of either zone, some of them at once. */
-	private async sendAll(sender: AttemptSender, charge: ChargeRequest): Promise<void> {
+	private async sendAll(sender: AttemptSender, charge: CallerRequest): Promise<void> {
 		const firstMs = this.choices.between(0, spreadMs);
 		const attempts = Array.from({length: attemptsPerId}, () => ({
 			atMs: firstMs + this.choices.pick([0, 0, 20, 300, 1500]),
--- a/prove/process/mint-charge.ts
+++ b/prove/process/mint-charge.ts
@@ -1,10 +1,10 @@
 import {Buffer} from 'node:buffer';
 import {v7 as uuidv7} from 'uuid';
-import {type ChargeRequest} from './attempt-sender.js';
+import {type CallerRequest} from './attempt-sender.js';
 import {type SeededChoices} from './seeded-choices.js';
 
 /** A request that is not idempotent, with an id minted now. */
-export function mintCharge(choices: SeededChoices, index: number): ChargeRequest {
+export function mintCharge(choices: SeededChoices, index: number): CallerRequest {
 	return {
 		requestId: uuidv7({random: choices.uuidBytes()}),
 		traceId: Buffer.from(choices.uuidBytes()).toString('hex'),
--- a/prove/process/record-executions.ts
+++ b/prove/process/record-executions.ts
@@ -12,6 +12,7 @@
 			requestId,
 			traceId,
 			nodeId,
+			service: graph.node(nodeId).plan.service,
 			idempotent: method === 'GET',
 		}]);
 	});
--- /dev/null
+++ b/prove/process/retry-run.ts
@@ -0,0 +1,79 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {v7 as uuidv7} from 'uuid';
+import {chainPlan} from '../../standins/graph/chain-plan.js';
+import {ProcessGraph} from '../../standins/graph/process-graph.js';
+import {EventKind} from '../history/event-kind.js';
+import {History} from '../history/history.js';
+import {AttemptSender} from './attempt-sender.js';
+import {FaultKind} from './fault-kind.js';
+import {mintCharge} from './mint-charge.js';
+import {recordExecutions} from './record-executions.js';
+import {SeededChoices} from './seeded-choices.js';
+
+const depth = 6;
+const upstreamsPerService = 2;
+const requestCount = 40;
+const attemptsPerRequest = 3;
+const spreadMs = 3000;
+const failShare = 0.3;
+const killAfterMs = 1000;
+const nodeFlags = ['--lease-ttl-ms', '2000', '--lease-margin-ms', '500', '--clock-skew-bound-ms', '100', '--gossip-interval-ms', '200'];
+
+/** Reads down a chain of six services that fail at every hop, re-sent by callers to other nodes, while an owner of their ids dies. */
+export class RetryRun {
+	readonly history = new History();
+	private readonly choices: SeededChoices;
+	private readonly graph: ProcessGraph;
+	private readonly sender: AttemptSender;
+
+	constructor(private readonly seed: number, retryTotal: number, nodeFile?: string) {
+		this.choices = new SeededChoices(seed);
+		const plan = chainPlan({
+			depth, upstreamsPerService, retryTotal, nodeFlags, seed,
+		});
+		this.graph = new ProcessGraph({...plan, nodeFile});
+		this.sender = new AttemptSender(this.graph, this.history);
+		recordExecutions(this.graph, this.history);
+	}
+
+	async run(): Promise<History> {
+		try {
+			await this.graph.start();
+			await this.failEverywhere();
+			const reads = Array.from({length: requestCount}, async () => this.sendAll());
+			await Promise.all([...reads, this.killOwner()]);
+		} finally {
+			await this.sender.dispose();
+			await this.graph.dispose();
+		}
+
+		return this.history;
+	}
+
+	private async failEverywhere(): Promise<void> {
+		await Promise.all([...this.graph.nodes.keys()].map(async nodeId => this.graph.setBackendFaults(nodeId, {failShare})));
+	}
+
+	/** Half of the ids of the first service are owned by each of its two upstreams; one of them dies. */
+	private async killOwner(): Promise<void> {
+		await delay(killAfterMs);
+		const nodeId = `level-1-zone-${1 + (this.seed % upstreamsPerService)}`;
+		this.history.record({kind: EventKind.Fault, nodeId, fault: FaultKind.KillVm});
+		await this.graph.node(nodeId).kill();
+	}
+
+	private async sendAll(): Promise<void> {
+		const {traceId} = mintCharge(this.choices, 0);
+		const startMs = this.choices.between(0, spreadMs);
+		const attempts = Array.from({length: attemptsPerRequest}, () => ({
+			afterMs: this.choices.pick([0, 10, 200, 800]),
+			nodeId: this.choices.pick(this.graph.plan.nodes).nodeId,
+		}));
+		await delay(startMs);
+		const request = {requestId: uuidv7(), traceId, path: '/level-1'};
+		await Promise.all(attempts.map(async ({afterMs, nodeId}) => {
+			await delay(afterMs);
+			await this.sender.send(request, nodeId);
+		}));
+	}
+}
