--- /dev/null
+++ b/src/programs/node/test/node-program.test.ts
@@ -0,0 +1,78 @@
+import {execFile} from 'node:child_process';
+import process from 'node:process';
+import {fileURLToPath} from 'node:url';
+import {promisify, stripVTControlCharacters} from 'node:util';
+import test from 'ava';
+
+const run = promisify(execFile);
+const program = fileURLToPath(new URL('../../../../../dist/kumquatline-node', import.meta.url));
+const required = ['--node-id', 'a1', '--availability-zone', 'north', '--store-urls', 'http://127.0.0.1:2379'];
+
+type Ended = {readonly code: number; readonly stdout: string; readonly stderr: string};
+
+/** Runs the program without the test's own settings in the environment. */
+async function end(args: readonly string[], variables: ReadonlyArray<[string, string]> = []): Promise<Ended> {
+	try {
+		const {stdout, stderr} = await run(process.execPath, [program, ...args], {env: Object.fromEntries(variables)});
+		return {code: 0, stdout, stderr};
+	} catch (error) {
+		const {code, stdout, stderr} = error as Ended;
+		return {code, stdout, stderr};
+	}
+}
+
+test('--help names every setting with its environment variable', async t => {
+	const {code, stdout} = await end(['--help']);
+	t.is(code, 0);
+	t.snapshot(stripVTControlCharacters(stdout));
+});
+
+test('--version prints the version alone', async t => {
+	const {code, stdout} = await end(['--version']);
+	t.is(code, 0);
+	t.regex(stdout, /^\d+\.\d+\.\d+\n$/v);
+});
+
+test('--check-settings ends with 0 for good settings and opens no port', async t => {
+	t.deepEqual(await end([...required, '--check-settings']), {code: 0, stdout: '', stderr: ''});
+});
+
+test('settings are taken from the environment', async t => {
+	const {code} = await end(['--check-settings'], [
+		['KUMQUATLINE_NODE_ID', 'a1'],
+		['KUMQUATLINE_AVAILABILITY_ZONE', 'north'],
+		['KUMQUATLINE_STORE_URLS', 'http://127.0.0.1:2379'],
+	]);
+	t.is(code, 0);
+});
+
+test('a bad environment variable is named, with a status of its own', async t => {
+	const {code, stderr} = await end([...required, '--check-settings'], [['KUMQUATLINE_LEASE_TTL_MS', 'soon']]);
+	t.is(code, 2);
+	t.regex(stderr, /KUMQUATLINE_LEASE_TTL_MS\): "soon" is not a whole number from 2000 to 60000/v);
+});
+
+test('a conflict between settings is named, with the same status', async t => {
+	const {code, stderr} = await end([...required, '--lease-margin-ms', '9000']);
+	t.is(code, 2);
+	t.regex(stderr, /lease-margin-ms: 9000 is more than half of lease-ttl-ms \(10000\)/v);
+});
+
+test('a missing setting is named', async t => {
+	const {code, stderr} = await end(['--check-settings']);
+	t.is(code, 2);
+	t.regex(stderr, /node-id/v);
+});
+
+test('a port that is taken ends the start with status 1 and says which', async t => {
+	const {createServer} = await import('node:net');
+	const server = createServer();
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const {port} = server.address() as {port: number};
+	const {code, stderr} = await end([...required, '--peer-port', String(port)]);
+	server.close();
+	t.is(code, 1);
+	t.regex(stderr, new RegExp(`EADDRINUSE.*127.0.0.1:${port}`, 'v'));
+});
