--- /dev/null
+++ b/prove/naive/unbounded-store-service.ts
@@ -0,0 +1,31 @@
+import {type Disposable} from '../../src/base/disposable.js';
+import {FixedSettingsService} from '../../src/platform/settings/fixed-settings-service.js';
+import {SettingsService} from '../../src/platform/settings/settings-service.js';
+import {EtcdStoreService} from '../../src/platform/store/etcd-store-service.js';
+import {type StoreChange, type SwapResult} from '../../src/platform/store/store-service.js';
+
+const endlessMs = 3_600_000;
+const maxTries = 3;
+
+/** Naive counterpart of the store client: waits for every answer, sends a swap again without one, and trusts its watch. */
+export class UnboundedStoreService extends EtcdStoreService {
+	constructor(@SettingsService {settings}: SettingsService) {
+		super(new FixedSettingsService({...settings, probeAfterMs: endlessMs, abandonAfterMs: endlessMs}));
+	}
+
+	override async compareAndSwap(key: string, expectedModRevision: number, value: string): Promise<SwapResult> {
+		for (let tries = 1; ; tries++) {
+			try {
+				return await super.compareAndSwap(key, expectedModRevision, value);
+			} catch (error) {
+				if (tries === maxTries) {
+					throw error;
+				}
+			}
+		}
+	}
+
+	override watch(prefix: string, listener: (change: StoreChange) => void): Disposable {
+		return super.watch(prefix, listener, endlessMs);
+	}
+}
--- a/prove/policy/policy-proof.ts
+++ b/prove/policy/policy-proof.ts
@@ -13,14 +13,9 @@
 const naiveClasses = [LastWritePolicyService, AnyEventPolicyService];
 
 /** Versions are accepted or refused whole, in force everywhere within the bound, and never earlier at any node. */
-export class PolicyProof implements Proof {
-	get name(): string {
-		return 'policy';
-	}
-
-	get separateProcesses(): boolean {
-		return false;
-	}
+export const policyProof: Proof = {
+	name: 'policy',
+	separateProcesses: false,
 
 	async run(seed: number, variant: ProofVariant): Promise<ProofReport> {
 		const policyClass = variant === ProofVariant.Real ? StoredPolicyService : naiveClasses[seed % naiveClasses.length];
@@ -37,5 +32,5 @@
 			unexplainedUnknowns: 0,
 			violations: checkPolicyHistory(run.events),
 		};
-	}
-}
+	},
+};
--- /dev/null
+++ b/prove/store/store-proof.ts
@@ -0,0 +1,28 @@
+import {EtcdStoreService} from '../../src/platform/store/etcd-store-service.js';
+import {UnboundedStoreService} from '../naive/unbounded-store-service.js';
+import {type Proof} from '../proof.js';
+import {type ProofReport} from '../proof-report.js';
+import {ProofVariant} from '../proof-variant.js';
+import {StoreRun} from './store-run.js';
+import {storeSchedule} from './store-schedule.js';
+
+/** Silent store connections cost a call a bounded time; nothing is written twice; watches catch up. */
+export const storeProof: Proof = {
+	name: 'silent-store-connections',
+	separateProcesses: false,
+
+	async run(seed: number, variant: ProofVariant): Promise<ProofReport> {
+		const run = new StoreRun(seed, variant === ProofVariant.Real ? EtcdStoreService : UnboundedStoreService);
+		const violations = await run.run(storeSchedule(seed));
+		return {
+			schedules: 1,
+			faultsByKind: run.faultsByKind,
+			ids: run.calls.length,
+			executions: run.calls.filter(({answered}) => answered).length,
+			refusalsByKind: {},
+			unknowns: run.calls.filter(({answered}) => !answered).length,
+			unexplainedUnknowns: 0,
+			violations,
+		};
+	},
+};
--- /dev/null
+++ b/prove/store/test/store-proof.test.ts
@@ -0,0 +1,36 @@
+import test from 'ava';
+import {EtcdStoreService} from '../../../src/platform/store/etcd-store-service.js';
+import {UnboundedStoreService} from '../../naive/unbounded-store-service.js';
+import {StoreRun} from '../store-run.js';
+import {type StoreStep} from '../store-step.js';
+import {StoreStepKind} from '../store-step-kind.js';
+
+const seed = 1;
+const pauseMs = 20;
+
+function stepsOf(...kinds: StoreStepKind[]): StoreStep[] {
+	return kinds.map(kind => ({kind, pauseMs}));
+}
+
+const lostAnswers = stepsOf(
+	StoreStepKind.LostAnswers,
+	...Array.from({length: 8}, () => StoreStepKind.Swap),
+);
+const silence = stepsOf(
+	StoreStepKind.Read,
+	StoreStepKind.Swap,
+	StoreStepKind.Silent,
+	StoreStepKind.Read,
+	StoreStepKind.Swap,
+	StoreStepKind.OtherWrite,
+);
+
+test('the check finds a false word on a swap that was sent again', async t => {
+	t.snapshot(await new StoreRun(seed, UnboundedStoreService).run(lostAnswers));
+	t.deepEqual(await new StoreRun(seed, EtcdStoreService).run(lostAnswers), []);
+});
+
+test('the check finds endless calls and a silent watch', async t => {
+	t.snapshot(await new StoreRun(seed, UnboundedStoreService).run(silence));
+	t.deepEqual(await new StoreRun(seed, EtcdStoreService).run(silence), []);
+});
