Refuse by standing queue delay and importance, and early at the entry

Change: a threshold on importance that rises with standing delay, within one importance by a hash of the root id; thresholds travel on replies, also those of deeper services, so that the entry refuses what any service of the operation's known path would.

--- a/bench/overload/run-load.ts
+++ b/bench/overload/run-load.ts
@@ -30,7 +30,8 @@
 		nodeUrls: system.entryUrls,
 		operations: setup.operations,
 		phases: [
-			{durationMs: warmUpMs + usualMs, ratePerSecond: usualRate},
+			{durationMs: warmUpMs, ratePerSecond: usualRate / 2},
+			{durationMs: usualMs, ratePerSecond: usualRate},
 			{durationMs: triggerMs, ratePerSecond: capacityPerSecond / slowFactor * surgeFactor},
 			{durationMs: afterMs, ratePerSecond: usualRate},
 		],
--- a/src/programs/node/create-kernel.ts
+++ b/src/programs/node/create-kernel.ts
@@ -11,7 +11,9 @@
 import {EtcdStoreService} from '../../platform/store/etcd-store-service.js';
 import {StoreService} from '../../platform/store/store-service.js';
 import {AdmissionService} from '../../services/admission/admission-service.js';
+import {DelayThresholdService} from '../../services/admission/delay-threshold-service.js';
 import {QueueAdmissionService} from '../../services/admission/queue-admission-service.js';
+import {ThresholdService} from '../../services/admission/threshold-service.js';
 import {BackendService} from '../../services/backend/backend-service.js';
 import {LoopbackBackendService} from '../../services/backend/loopback-backend-service.js';
 import {CallerService} from '../../services/callers/caller-service.js';
@@ -47,6 +49,7 @@
 		.register(LeaseService, StoreLeaseService)
 		.register(MembershipService, GossipMembershipService)
 		.register(RoutingService, PolicyRoutingService)
+		.register(ThresholdService, DelayThresholdService)
 		.register(AdmissionService, QueueAdmissionService)
 		.register(BackendService, LoopbackBackendService)
 		.register(UpstreamService, RoutedUpstreamService)
--- /dev/null
+++ b/src/services/admission/heard-threshold.ts
@@ -0,0 +1,7 @@
+/** Threshold of another service, as passed on with a reply. */
+export type HeardThreshold = {
+	readonly service: string;
+	readonly threshold: number;
+	/** Time since an upstream of the service reported it. */
+	readonly ageMs: number;
+};
--- /dev/null
+++ b/src/services/admission/own-time-average.ts
@@ -0,0 +1,20 @@
+/** Weight of one more execution. */
+const weight = 0.2;
+
+/** Moving average of the backend server's own time for a request. */
+export class OwnTimeAverage {
+	private average = 0;
+
+	/** In milliseconds; 0 before the first execution. */
+	get valueMs(): number {
+		return this.average;
+	}
+
+	note(ownTimeMs: number): void {
+		this.average = this.average === 0 ? ownTimeMs : this.average + (weight * (ownTimeMs - this.average));
+	}
+
+	reset(): void {
+		this.average = 0;
+	}
+}
--- a/src/services/admission/queue-admission-service.ts
+++ b/src/services/admission/queue-admission-service.ts
@@ -5,7 +5,10 @@
 import {MetricsService} from '../../platform/metrics/metrics-service.js';
 import {type CallContext} from '../calls/call-context.js';
 import {type AdmissionService, type AdmittedWork} from './admission-service.js';
+import {admitsAt} from './admits-at.js';
+import {OwnTimeAverage} from './own-time-average.js';
 import {OwnTimeMeter} from './own-time-meter.js';
+import {ThresholdService} from './threshold-service.js';
 import {type UpstreamLoad} from './upstream-load.js';
 import {WaitingQueue} from './waiting-queue.js';
 import {type WaitingWork} from './waiting-work.js';
@@ -13,31 +16,41 @@
 /** Most work that waits at one node. */
 const queueCapacity = 512;
 
+/** Time after which a refused caller may find room. */
+const retryAfterMs = 1000;
+
 /** Queues work by importance and runs it within a limit. */
 export class QueueAdmissionService implements AdmissionService {
 	private readonly queue = new WaitingQueue(queueCapacity);
+	private readonly ownTime = new OwnTimeAverage();
 	private readonly idleWaiters: Array<Deferred<void>> = [];
 	private limit = 0;
 	private running = 0;
 	private queueWaitMs = 0;
 
-	constructor(@MetricsService private readonly metrics: MetricsService) {}
+	constructor(
+		@MetricsService private readonly metrics: MetricsService,
+		@ThresholdService private readonly threshold: ThresholdService,
+	) {}
 
 	get load(): UpstreamLoad {
+		this.observe();
 		return {
 			inFlight: this.running,
 			limit: this.limit,
 			queued: this.queue.length,
 			queueWaitMs: this.queueWaitMs,
-			threshold: 0,
+			threshold: this.threshold.threshold,
 		};
 	}
 
 	async run<T>(context: CallContext, work: AdmittedWork<T>, signal: AbortSignal): Promise<T> {
 		await this.enter(context, signal);
+		const ownTime = new OwnTimeMeter();
 		try {
-			return await work(new OwnTimeMeter(), signal);
+			return await work(ownTime, signal);
 		} finally {
+			this.ownTime.note(ownTime.ownTimeMs);
 			this.running--;
 			this.startWaiting();
 			this.settleIdle();
@@ -66,6 +79,12 @@
 			throw notRun(ErrorKind.CallerGone, 'the caller left before the work was queued');
 		}
 
+		this.observe();
+		if (!admitsAt(this.threshold.threshold, context)) {
+			this.metrics.count('admission.refused', {importance: context.importance, caller: context.caller});
+			throw notRun(ErrorKind.Overloaded, 'work of this importance is refused at present');
+		}
+
 		const admitted = new Deferred<void>();
 		const waiting: WaitingWork = {
 			context, enqueuedAtMs: performance.now(), start: admitted.resolve, refuse: admitted.reject,
@@ -96,6 +115,27 @@
 
 			this.start(work);
 		}
+
+		this.observe();
+		this.refuseBelowThreshold();
+	}
+
+	private observe(): void {
+		const {oldestAtMs} = this.queue;
+		this.threshold.observe({
+			oldestWaitMs: oldestAtMs === undefined ? 0 : performance.now() - oldestAtMs,
+			isFull: this.running >= this.limit,
+			ownTimeMs: this.ownTime.valueMs,
+		});
+	}
+
+	/** Work that was queued before the threshold rose above it. */
+	private refuseBelowThreshold(): void {
+		const {threshold} = this.threshold;
+		for (const work of this.queue.removeWhere(({context}) => !admitsAt(threshold, context))) {
+			this.metrics.count('admission.refused', {importance: work.context.importance, caller: work.context.caller});
+			work.refuse(notRun(ErrorKind.Overloaded, 'work of this importance is refused at present'));
+		}
 	}
 
 	private start(work: WaitingWork): void {
@@ -122,5 +162,5 @@
 }
 
 function notRun(kind: ErrorKind, message: string): KumquatlineError {
-	return new KumquatlineError(kind, message, {execution: Execution.NotRun, started: false});
+	return new KumquatlineError(kind, message, {execution: Execution.NotRun, started: false, retryAfterMs: kind === ErrorKind.Overloaded ? retryAfterMs : undefined});
 }
--- a/src/services/admission/waiting-queue.ts
+++ b/src/services/admission/waiting-queue.ts
@@ -44,8 +44,10 @@
 	/** Takes out and returns all work that a condition holds for. */
 	removeWhere(condition: (work: WaitingWork) => boolean): WaitingWork[] {
 		const removed = this.items.filter(work => condition(work));
-		const kept = this.items.filter(work => !condition(work));
-		this.items.splice(0, this.items.length, ...kept);
+		for (const work of removed) {
+			this.remove(work);
+		}
+
 		return removed;
 	}
 
--- a/src/services/calls/call-executor.ts
+++ b/src/services/calls/call-executor.ts
@@ -4,9 +4,11 @@
 import {toWireError} from '../../base/to-wire-error.js';
 import {PeerService} from '../../platform/peer/peer-service.js';
 import {AdmissionService} from '../admission/admission-service.js';
+import {type UpstreamLoad} from '../admission/upstream-load.js';
 import {BackendService} from '../backend/backend-service.js';
 import {MemberState} from '../membership/member-state.js';
 import {MembershipService} from '../membership/membership-service.js';
+import {RoutingService} from '../routing/routing-service.js';
 import {type CallAnswer} from './call-answer.js';
 import {type CallRequest} from './call-request.js';
 import {executeMethod} from './execute-method.js';
@@ -21,6 +23,7 @@
 		@AdmissionService private readonly admission: AdmissionService,
 		@BackendService private readonly backend: BackendService,
 		@MembershipService private readonly membership: MembershipService,
+		@RoutingService private readonly routing: RoutingService,
 	) {
 		this.handler = peers.handle(executeMethod, async (request, call) => this.reply(request, call.signal));
 	}
@@ -32,12 +35,16 @@
 	private async reply(request: CallRequest, signal: AbortSignal): Promise<ExecutionReply> {
 		try {
 			const answer = await this.execute(request, signal);
-			return {answer, load: this.admission.load};
+			return {answer, load: this.load()};
 		} catch (error) {
-			return {failure: toWireError(error), load: this.admission.load};
+			return {failure: toWireError(error), load: this.load()};
 		}
 	}
 
+	private load(): UpstreamLoad {
+		return {...this.admission.load, heard: this.routing.heard};
+	}
+
 	private async execute(request: CallRequest, signal: AbortSignal): Promise<CallAnswer> {
 		const {announcement} = this.backend;
 		if (announcement?.service !== request.service) {
--- a/src/services/routing/policy-routing-service.ts
+++ b/src/services/routing/policy-routing-service.ts
@@ -2,7 +2,12 @@
 import findMyWay from 'find-my-way';
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {ErrorKind} from '../../base/error-kind.js';
+import {Execution} from '../../base/execution.js';
+import {KumquatlineError} from '../../base/kumquatline-error.js';
 import {SettingsService} from '../../platform/settings/settings-service.js';
+import {admitsAt} from '../admission/admits-at.js';
+import {type HeardThreshold} from '../admission/heard-threshold.js';
 import {type UpstreamLoad} from '../admission/upstream-load.js';
 import {type CallContext} from '../calls/call-context.js';
 import {type Member} from '../membership/member.js';
@@ -11,16 +16,23 @@
 import {type Policy} from '../policy/policy.js';
 import {PolicyService} from '../policy/policy-service.js';
 import {type RoutingService} from './routing-service.js';
+import {ThresholdMemory} from './threshold-memory.js';
 import {type UpstreamRecord} from './upstream-record.js';
 
 /** Seeds are 32 bits wide. */
 const maxSeed = 2 ** 31;
 
+/** Time after which an upstream's load counts no longer. */
+const loadLifetimeMs = 2000;
+/** Time after which a refused caller may find room. */
+const retryAfterMs = 1000;
+
 type Router = ReturnType<typeof buildRouter>;
 
 /** Routes by the policy in force; chooses upstreams by the power of two random choices, own availability zone first. */
 export class PolicyRoutingService implements RoutingService {
 	private readonly records = new Map<string, UpstreamRecord>();
+	private readonly thresholds = new ThresholdMemory();
 	private readonly random;
 	private router: Router | undefined;
 	private routerVersion = 0;
@@ -44,14 +56,24 @@
 		return loads;
 	}
 
+	get heard(): readonly HeardThreshold[] {
+		return this.thresholds.heard;
+	}
+
 	match(method: string, target: string): Operation | undefined {
 		const router = this.currentRouter();
 		// eslint-disable-next-line unicorn/no-array-callback-reference, unicorn/no-array-method-this-argument -- a router, not an array
 		return router.find(method as 'GET', target)?.store as Operation | undefined;
 	}
 
-	refuseEarly(_operation: Operation, _context: CallContext): void {
-		// Nothing is refused early here.
+	refuseEarly({service, calls}: Operation, context: CallContext): void {
+		for (const name of [service, ...calls]) {
+			if (!admitsAt(this.thresholds.thresholdOf(name), context)) {
+				throw new KumquatlineError(ErrorKind.Overloaded, `service ${name} refuses work of this importance at present`, {
+					execution: Execution.NotRun, started: false, retryAfterMs,
+				});
+			}
+		}
 	}
 
 	choose(service: string, exclude: ReadonlySet<string>): Member | undefined {
@@ -74,6 +96,32 @@
 			record.load = load;
 			record.begunSinceHeard = 0;
 			record.heardAtMs = performance.now();
+			this.hearThresholds(member, load);
+		}
+	}
+
+	/** A service's threshold is the mean of its upstreams', weighted by their limits. */
+	private hearThresholds({service}: Member, {heard = []}: UpstreamLoad): void {
+		for (const threshold of heard) {
+			this.thresholds.hear(threshold);
+		}
+
+		if (service === undefined) {
+			return;
+		}
+
+		let weighted = 0;
+		let total = 0;
+		for (const member of this.membership.upstreams(service)) {
+			const {load, heardAtMs} = this.recordOf(member.nodeId);
+			if (load && performance.now() - heardAtMs < loadLifetimeMs) {
+				weighted += load.threshold * load.limit;
+				total += load.limit;
+			}
+		}
+
+		if (total > 0) {
+			this.thresholds.hear({service, threshold: weighted / total, ageMs: 0});
 		}
 	}
 
--- /dev/null
+++ b/src/services/routing/test/policy-routing-service.test.ts
@@ -0,0 +1,83 @@
+import test from 'ava';
+import {ErrorKind} from '../../../base/error-kind.js';
+import {type KumquatlineError} from '../../../base/kumquatline-error.js';
+import {makeContext} from '../../admission/test/make-context.js';
+import {Importance} from '../../policy/importance.js';
+import {makeLoad, makeMember, makeRouting} from './routing-fixture.js';
+
+const nobody = new Set<string>();
+
+function countChoices(routing: ReturnType<typeof makeRouting>, count: number): Record<string, number> {
+	const counts: Record<string, number> = {};
+	for (let index = 0; index < count; index++) {
+		const member = routing.choose('returns', nobody);
+		if (member) {
+			counts[member.nodeId] = (counts[member.nodeId] ?? 0) + 1;
+		}
+	}
+
+	return counts;
+}
+
+test('a request matches the operation that the policy declares', t => {
+	const routing = makeRouting([]);
+	t.is(routing.match('GET', '/panels/42?colour=grey')?.name, 'read-stock');
+	t.is(routing.match('POST', '/panels/42'), undefined);
+});
+
+test('upstreams fill in proportion to their limits', t => {
+	const routing = makeRouting([makeMember('small', 'a', 5), makeMember('large', 'a', 15)]);
+	const counts = countChoices(routing, 20);
+	t.true(counts.small >= 3 && counts.small <= 7);
+});
+
+test('the own availability zone is first and spills when it is full', t => {
+	const routing = makeRouting([makeMember('near', 'a', 4), makeMember('far', 'b', 4)]);
+	t.deepEqual(countChoices(routing, 4), {near: 4});
+	t.true(countChoices(routing, 2).far > 0);
+});
+
+test('an upstream that is excluded is not chosen', t => {
+	const routing = makeRouting([makeMember('near', 'a', 4)]);
+	t.is(routing.choose('returns', new Set(['near'])), undefined);
+});
+
+test('what a service on the path would refuse is refused at the entry, the same ids at each hop', t => {
+	const [near] = [makeMember('near', 'a', 4)];
+	const routing = makeRouting([near]);
+	const operation = routing.match('GET', '/panels/42')!;
+	const browsing = makeContext({importance: Importance.Sheddable});
+	routing.refuseEarly(operation, browsing);
+
+	routing.noteReply(near, makeLoad({threshold: 1.5}));
+	const error = t.throws<KumquatlineError>(() => {
+		routing.refuseEarly(operation, browsing);
+	});
+	t.is(error?.kind, ErrorKind.Overloaded);
+	t.false(error?.started);
+	routing.refuseEarly(operation, makeContext({importance: Importance.Critical}));
+
+	const other = makeRouting([near]);
+	other.noteReply(near, makeLoad({threshold: 1.5}));
+	const ids = Array.from({length: 200}, (_value, index) => `root-${index}`);
+	const refusals = [routing, other].map(hop => ids.filter(rootId => {
+		try {
+			hop.refuseEarly(operation, makeContext({rootId}));
+			return false;
+		} catch {
+			return true;
+		}
+	}));
+	t.deepEqual(refusals[0], refusals[1]);
+	t.true(refusals[0].length > 70 && refusals[0].length < 130);
+});
+
+test('a threshold from deeper down is heard and passed on', t => {
+	const near = makeMember('near', 'a', 4);
+	const routing = makeRouting([near]);
+	routing.noteReply(near, makeLoad({heard: [{service: 'catalogue', threshold: 2, ageMs: 10}]}));
+	t.throws(() => {
+		routing.refuseEarly(routing.match('GET', '/panels/42')!, makeContext());
+	});
+	t.true(routing.heard.some(({service, threshold}) => service === 'catalogue' && threshold === 2));
+});
