Show status by service and availability zone

Cause: operators ask about a service in a zone, and one node's own report does not answer that. Retries are counted where they are asked for.

--- a/src/programs/cli/test/run-cli.test.ts
+++ b/src/programs/cli/test/run-cli.test.ts
@@ -81,6 +81,7 @@
 		await runAtNode('policy', 'wait', '3'),
 		await runAtNode('nodes'),
 		await runAtNode('status'),
+		await runAtNode('status', '--one-node'),
 	];
 	t.snapshot(runs);
 	const diff = await runAtNode('policy', 'diff', wanted, '--json');
--- a/src/services/calls/graph-call-service.ts
+++ b/src/services/calls/graph-call-service.ts
@@ -1,6 +1,7 @@
 import {v7 as uuidv7} from 'uuid';
 import {ErrorKind} from '../../base/error-kind.js';
 import {KumquatlineError} from '../../base/kumquatline-error.js';
+import {MetricsService} from '../../platform/metrics/metrics-service.js';
 import {OwnershipService} from '../ownership/ownership-service.js';
 import {RetryService} from '../retries/retry-service.js';
 import {type CallAnswer} from './call-answer.js';
@@ -27,6 +28,7 @@
 		@UpstreamService private readonly upstreams: UpstreamService,
 		@OwnershipService private readonly ownership: OwnershipService,
 		@RetryService private readonly retries: RetryService,
+		@MetricsService private readonly metrics: MetricsService,
 	) {}
 
 	async call(request: CallRequest, signal: AbortSignal): Promise<CallAnswer> {
@@ -39,13 +41,21 @@
 		for (;;) {
 			const outcome = await this.attempt(request, tried, signal);
 			const mayRetry = outcome instanceof KumquatlineError ? retriedKinds.has(outcome.kind) : retriedStatuses.has(outcome.status);
-			const again = mayRetry && await this.retries.grant(request.context, signal);
-			if (!again) {
+			const isGranted = mayRetry && await this.retries.grant(request.context, signal);
+			if (mayRetry) {
+				this.noteRetry(request, isGranted);
+			}
+
+			if (!isGranted) {
 				return settle(outcome);
 			}
 		}
 	}
 
+	private noteRetry({context, operation}: CallRequest, isGranted: boolean): void {
+		this.metrics.count('retries', {caller: context.caller, operation, outcome: isGranted ? 'granted' : 'denied'});
+	}
+
 	/** Prefers upstreams that were not tried yet, and falls back to any. */
 	private async attempt(request: CallRequest, tried: Set<string>, signal: AbortSignal): Promise<CallAnswer | KumquatlineError> {
 		try {
--- a/src/services/calls/test/calls.test.ts
+++ b/src/services/calls/test/calls.test.ts
@@ -2,6 +2,7 @@
 import {ErrorKind} from '../../../base/error-kind.js';
 import {Execution} from '../../../base/execution.js';
 import {KumquatlineError} from '../../../base/kumquatline-error.js';
+import {type MetricsService} from '../../../platform/metrics/metrics-service.js';
 import {type PeerService} from '../../../platform/peer/peer-service.js';
 import {MemberState} from '../../membership/member-state.js';
 import {type Member} from '../../membership/member.js';
@@ -82,8 +83,9 @@
 	const {asked, service} = upstreams(script);
 	let left = grants;
 	const retries = {noteFresh() {}, grant: async () => left-- > 0} as unknown as RetryService; // eslint-disable-line @typescript-eslint/no-empty-function
+	const metrics = {count() {}} as unknown as MetricsService; // eslint-disable-line @typescript-eslint/no-empty-function
 	const ownership = {run: async () => answer} as unknown as OwnershipService;
-	return {asked, service: new GraphCallService(service, ownership, retries)};
+	return {asked, service: new GraphCallService(service, ownership, retries, metrics)};
 }
 
 test('an upstream that certainly did not start is passed over without a grant', async t => {
--- a/src/services/policy/test/operator-server.ts
+++ b/src/services/policy/test/operator-server.ts
@@ -46,6 +46,18 @@
 		};
 		return {
 			self, policyVersion: version, storeReachable: true, shards: {catalogue: [1, 2, 3]}, members: [self, ...this.members],
+			admission: {
+				inFlight: 3, limit: 8, queued: 2, queueWaitMs: 12.4, threshold: 0.25,
+			},
+			metrics: {
+				counters: Object.fromEntries([
+					['requests{caller=clerk,operation=read,outcome=answered}', 90],
+					['requests{caller=clerk,operation=read,outcome=overloaded}', 7],
+					['requests{caller=clerk,operation=charge,outcome=outcome-unknown}', 1],
+					['retries{caller=clerk,operation=read,outcome=granted}', 4],
+					['retries{caller=clerk,operation=read,outcome=denied}', 2],
+				]),
+			},
 		};
 	}
 }
