Tell a slow reading of the store from a store that was set back

Cause: a reading that gossip overtook was taken for a store set back, and the patch was told refused although another attempt of it had been accepted. Change: a reading is compared with the version in force before it; the test for it failed before.

--- a/src/services/policy/policy-writer.ts
+++ b/src/services/policy/policy-writer.ts
@@ -2,7 +2,6 @@
 import {Execution} from '../../base/execution.js';
 import {KumquatlineError} from '../../base/kumquatline-error.js';
 import {type Backoff} from '../../platform/store/backoff.js';
-import {type StoreEntry} from '../../platform/store/store-entry.js';
 import {type StoreService} from '../../platform/store/store-service.js';
 import {parsePolicy} from './parse-policy.js';
 import {policyKey} from './policy-key.js';
@@ -28,6 +27,7 @@
 	constructor(
 		private readonly store: StoreService,
 		private readonly backoff: () => Backoff,
+		private readonly versionInForce: () => number,
 		private readonly onDidWrite: (written: WrittenPolicy) => void,
 	) {}
 
@@ -62,6 +62,10 @@
 		try {
 			return await this.read(signal);
 		} catch (error) {
+			if (error instanceof KumquatlineError && error.kind === ErrorKind.PolicyConflict) {
+				throw error;
+			}
+
 			throw new KumquatlineError(ErrorKind.StoreUnavailable, `this attempt changed nothing: ${(error as Error).message}`, {
 				execution: Execution.Unknown, started: false, cause: error,
 			});
@@ -93,6 +97,10 @@
 			try {
 				return await this.read(signal);
 			} catch (error) {
+				if (error instanceof KumquatlineError && error.kind === ErrorKind.PolicyConflict) {
+					throw error;
+				}
+
 				if (signal.aborted) {
 					throw new KumquatlineError(ErrorKind.StoreUnavailable, 'the store did not tell whether it took the change; submit it again under the same patch id', {
 						execution: Execution.Unknown, cause: error,
@@ -112,8 +120,21 @@
 		}
 	}
 
+	/**
+	Reads the policy; `policy-conflict` when it is earlier than the one that was in force before the reading.
+	A store that was emptied or set back is not to be written on: versions would be given out twice.
+	*/
 	private async read(signal: AbortSignal): Promise<WrittenPolicy | undefined> {
-		const entry: StoreEntry | undefined = await this.store.get(policyKey, signal);
-		return entry && {policy: parsePolicy(JSON.parse(entry.value)), modRevision: entry.modRevision};
+		const versionBefore = this.versionInForce();
+		const entry = await this.store.get(policyKey, signal);
+		const found = entry && {policy: parsePolicy(JSON.parse(entry.value)), modRevision: entry.modRevision};
+		const version = found?.policy.version ?? 0;
+		if (version < versionBefore) {
+			throw new KumquatlineError(ErrorKind.PolicyConflict, `version ${versionBefore} is in force but the store holds version ${version}`, {
+				execution: Execution.Unknown,
+			});
+		}
+
+		return found;
 	}
 }
--- a/src/services/policy/stored-policy-service.ts
+++ b/src/services/policy/stored-policy-service.ts
@@ -61,7 +61,7 @@
 		const {seed, probeAfterMs, abandonAfterMs} = settingsService.settings;
 		this.onDidChange = this.changeEmitter.event;
 		this.random = xoroshiro128plus(seed === 0 ? Math.floor(Math.random() * maxSeed) : seed);
-		this.writer = new PolicyWriter(store, () => this.newBackoff(), ({policy, modRevision}) => {
+		this.writer = new PolicyWriter(store, () => this.newBackoff(), () => this.version, ({policy, modRevision}) => {
 			this.take(policy, modRevision);
 		});
 		this.fetcher = this.disposables.add(new PolicyFetcher(peers, this.random, {
@@ -101,8 +101,7 @@
 		return this.writer.write({
 			patchId,
 			digest,
-			make: found => {
-				this.checkNotEarlier(found);
+			make(found) {
 				if (found) {
 					throw policyRefusal(ErrorKind.PolicyConflict, `there is a policy already: version ${found.version} is in force`);
 				}
@@ -118,10 +117,7 @@
 		return this.writer.write({
 			patchId,
 			digest: policyDigest({baseVersion, operations}),
-			make: found => {
-				this.checkNotEarlier(found);
-				return makePatchedPolicy(found, {patchId, baseVersion, operations}, acceptedAtMs);
-			},
+			make: found => makePatchedPolicy(found, {patchId, baseVersion, operations}, acceptedAtMs),
 		}, signal);
 	}
 
@@ -181,21 +177,16 @@
 
 		try {
 			const policy = parsePolicy(JSON.parse(entry.value));
-			this.checkNotEarlier(policy);
+			if (policy.version < this.version && entry.modRevision > this.modRevision) {
+				this.log.error('the store was set back to an earlier version', {version: policy.version, inForce: this.version});
+			}
+
 			this.take(policy, entry.modRevision);
 		} catch (error) {
 			this.log.error('the store holds a policy that can not be in force', {error: String(error)});
 		}
 	}
 
-	/** A store that was emptied or set back is not to be written on: versions would be given out twice. */
-	private checkNotEarlier(found: Policy | undefined): void {
-		const version = found?.version ?? 0;
-		if (version < this.version) {
-			throw policyRefusal(ErrorKind.PolicyConflict, `version ${this.version} is in force but the store holds version ${version}`);
-		}
-	}
-
 	private async readStore(signal: AbortSignal): Promise<void> {
 		const entry = await this.store.getNewer(policyKey, this.modRevision, signal);
 		if (entry) {
--- a/src/services/policy/test/memory-store.ts
+++ b/src/services/policy/test/memory-store.ts
@@ -17,6 +17,8 @@
 	answersToLose = 0;
 	/** Called before each swap is decided, so that a test can get in between. */
 	beforeSwap: (() => void) | undefined;
+	/** Awaited between each reading and its answer. */
+	beforeAnswer: (() => Promise<void>) | undefined;
 	readonly calls: string[] = [];
 	private readonly entries = new Map<string, StoreEntry>();
 	private readonly changes = new Emitter<StoreChange>();
@@ -29,6 +31,7 @@
 	async getNewer(key: string, knownModRevision: number): Promise<StoreEntry | undefined> {
 		this.checkCall('read');
 		const entry = this.entries.get(key);
+		await this.beforeAnswer?.();
 		return entry && entry.modRevision > knownModRevision ? entry : undefined;
 	}
 
--- a/src/services/policy/test/stored-policy-service.test.ts
+++ b/src/services/policy/test/stored-policy-service.test.ts
@@ -1,5 +1,6 @@
 import {install, type Clock} from '@sinonjs/fake-timers';
 import test from 'ava';
+import {Deferred} from '../../../base/deferred.js';
 import {ErrorKind} from '../../../base/error-kind.js';
 import {Importance} from '../importance.js';
 import {type LocalPeers} from './local-peers.js';
@@ -188,3 +189,21 @@
 	t.like(recent, {kind: ErrorKind.PolicyConflict, execution: 'not-run', started: false});
 	t.is(node.policy.current.recentPatches.length, 64);
 });
+
+test.serial('a reading that gossip overtakes is no sign of a store that was set back', async t => {
+	const {nodes: [first, second], store} = await startNodes(2);
+	await first.policy.initialize(sampleDocument, noSignal);
+	second.policy.hearOf(1, first.peers.self);
+	await clock.tickAsync(1000);
+	const held = new Deferred<void>();
+	store.beforeAnswer = async () => held.promise;
+	const repeat = second.policy.submit(importanceOf('normal', 'p1', 1), noSignal);
+	store.beforeAnswer = undefined;
+	await first.policy.submit(importanceOf('normal', 'p1', 1), noSignal);
+	second.policy.hearOf(2, first.peers.self);
+	await clock.tickAsync(1000);
+	t.is(second.policy.version, 2);
+	held.resolve();
+	const outcome = await repeat;
+	t.is(outcome.version, 2);
+});
