Prove whole answers and silent connections on seeded concurrent runs

Real services of three nodes over loopback with a relay before each node and each backend server. Found on the way: a call that was sent gave up when the connection that replaced a silent one fell silent while it was opened; it now tries again while its time lasts. A call that was never sent still fails at once, so that another upstream is tried. Backend servers may copy the context header onto their answer; one of another call is dropped.

--- /dev/null
+++ b/prove/answers/make-answer-schedule.ts
@@ -0,0 +1,37 @@
+import fc from 'fast-check';
+import {type RelayFault} from '../../standins/relay/relay-fault.js';
+import {type AnswerStep} from './answer-step.js';
+
+export type ScheduleShape = {
+	readonly nodes: number;
+	readonly requests: number;
+	readonly faults: number;
+	readonly lengthMs: number;
+	readonly faultKinds: readonly RelayFault[];
+	/** Whether relays before backend servers are harmed too. */
+	readonly harmsBackends: boolean;
+};
+
+const maxServiceTimeMs = 30;
+/** Of marks in an answer; some answers take several reads to arrive. */
+const maxParts = 3000;
+const maxAmount = 3000;
+
+/** The schedule of a seed, in the order of time. */
+export function makeAnswerSchedule(seed: number, shape: ScheduleShape): AnswerStep[] {
+	const time = {atMs: fc.nat(shape.lengthMs), node: fc.nat(shape.nodes - 1)};
+	const request = fc.record({...time, request: fc.record({idempotent: fc.boolean(), delayMs: fc.nat(maxServiceTimeMs), parts: fc.integer({min: 1, max: maxParts})})});
+	const fault = fc.record({
+		...time, fault: fc.record({
+			kind: fc.constantFrom(...shape.faultKinds),
+			atBackend: shape.harmsBackends ? fc.boolean() : fc.constant(false),
+			amount: fc.integer({min: 1, max: maxAmount}),
+		}),
+	});
+	const steps = fc.tuple(
+		fc.array(request, {minLength: shape.requests, maxLength: shape.requests}),
+		fc.array(fault, {minLength: shape.faults, maxLength: shape.faults}),
+	);
+	const [[requests, faults]] = fc.sample(steps, {seed, numRuns: 1});
+	return [...requests, ...faults].sort((left, right) => left.atMs - right.atMs);
+}
--- /dev/null
+++ b/prove/answers/silent-connections-proof.ts
@@ -0,0 +1,62 @@
+import {FramedPeerService} from '../../src/platform/peer/framed-peer-service.js';
+import {testSettings} from '../../src/platform/peer/test/peer-fixture.js';
+import {RelayFault} from '../../standins/relay/relay-fault.js';
+import {findForeignAnswers} from '../history/find-foreign-answers.js';
+import {findRepeatedExecutions} from '../history/find-repeated-executions.js';
+import {findUnanswered} from '../history/find-unanswered.js';
+import {History} from '../history/history.js';
+import {ImpatientPeerService} from '../naive/impatient-peer-service.js';
+import {UnprobedPeerService} from '../naive/unprobed-peer-service.js';
+import {reportHistory} from '../process/report-history.js';
+import {type Proof} from '../proof.js';
+import {type ProofReport} from '../proof-report.js';
+import {ProofVariant} from '../proof-variant.js';
+import {AnswerRun} from './answer-run.js';
+import {makeAnswerSchedule, type ScheduleShape} from './make-answer-schedule.js';
+
+const shape: ScheduleShape = {
+	nodes: 3,
+	requests: 60,
+	faults: 2,
+	lengthMs: 300,
+	faultKinds: [RelayFault.Swallow],
+	harmsBackends: false,
+};
+
+const {probeAfterMs, abandonAfterMs} = testSettings('any');
+/** A call's connection and the one that replaces it may each fall silent, the latter while it is opened. */
+const silenceMs = shape.faults * (probeAfterMs + abandonAfterMs);
+/** Work, queueing and the machine's own pauses. */
+const allowanceMs = 800;
+const boundMs = silenceMs + allowanceMs;
+
+/**
+Connections between nodes that swallow all bytes for good: every request is answered within its bound, which is its deadline,
+and no booking runs twice. Naive counterparts: connections that nobody probes, and calls that are sent anew when no reply comes.
+*/
+export const silentConnectionsProof: Proof = {
+	name: 'silent-connections',
+	separateProcesses: false,
+
+	async run(seed: number, variant: ProofVariant): Promise<ProofReport> {
+		const history = new History();
+		const run = new AnswerRun(history, shape.nodes, boundMs, peerClassFor(seed, variant));
+		try {
+			await run.start();
+			await run.carryOut(makeAnswerSchedule(seed, shape));
+		} finally {
+			run.dispose();
+		}
+
+		const {events} = history;
+		return reportHistory(events, [...findUnanswered(events), ...findForeignAnswers(events), ...findRepeatedExecutions(events)]);
+	},
+};
+
+function peerClassFor(seed: number, variant: ProofVariant) {
+	if (variant === ProofVariant.Real) {
+		return FramedPeerService;
+	}
+
+	return seed % 2 === 0 ? UnprobedPeerService : ImpatientPeerService;
+}
--- /dev/null
+++ b/prove/answers/single-execution-ownership-service.ts
@@ -0,0 +1,36 @@
+import {type PeerAddress} from '../../src/platform/peer/peer-address.js';
+import {type CallAnswer} from '../../src/services/calls/call-answer.js';
+import {type CallRequest} from '../../src/services/calls/call-request.js';
+import {UpstreamService} from '../../src/services/calls/upstream-service.js';
+import {type OwnershipService} from '../../src/services/ownership/ownership-service.js';
+
+/** Lets the entry node itself decide: each id is sent once, under a call id of its own. */
+export class SingleExecutionOwnershipService implements OwnershipService {
+	readonly shards = [];
+
+	constructor(@UpstreamService private readonly upstreams: UpstreamService) {}
+
+	async run(request: CallRequest, signal: AbortSignal): Promise<CallAnswer> {
+		return this.upstreams.execute(request, {callId: request.requestId, exclude: new Set()}, signal);
+	}
+
+	ownerOf(): PeerAddress | undefined {
+		return undefined;
+	}
+
+	isOwner(): boolean {
+		return true;
+	}
+
+	reserve(): readonly string[] {
+		return [];
+	}
+
+	async start(): Promise<void> {
+		// There are no shards to take.
+	}
+
+	async handOver(): Promise<void> {
+		// There are no shards to hand over.
+	}
+}
--- /dev/null
+++ b/prove/answers/whole-answers-proof.ts
@@ -0,0 +1,46 @@
+import {FramedPeerService} from '../../src/platform/peer/framed-peer-service.js';
+import {RelayFault} from '../../standins/relay/relay-fault.js';
+import {findFalseRefusals} from '../history/find-false-refusals.js';
+import {findForeignAnswers} from '../history/find-foreign-answers.js';
+import {findRepeatedExecutions} from '../history/find-repeated-executions.js';
+import {History} from '../history/history.js';
+import {OrderedPeerService} from '../naive/ordered-peer-service.js';
+import {reportHistory} from '../process/report-history.js';
+import {type Proof} from '../proof.js';
+import {type ProofReport} from '../proof-report.js';
+import {ProofVariant} from '../proof-variant.js';
+import {AnswerRun} from './answer-run.js';
+import {makeAnswerSchedule, type ScheduleShape} from './make-answer-schedule.js';
+
+const shape: ScheduleShape = {
+	nodes: 3,
+	requests: 60,
+	faults: 6,
+	lengthMs: 300,
+	faultKinds: Object.values(RelayFault),
+	harmsBackends: true,
+};
+const timeoutMs = 1000;
+
+/**
+Whole answers to the right callers, while answers are delayed, reordered, cut, duplicated and swapped between connections,
+to peers and to backend servers. Naive counterpart: replies are matched by their order.
+*/
+export const wholeAnswersProof: Proof = {
+	name: 'whole-answers',
+	separateProcesses: false,
+
+	async run(seed: number, variant: ProofVariant): Promise<ProofReport> {
+		const history = new History();
+		const run = new AnswerRun(history, shape.nodes, timeoutMs, variant === ProofVariant.Naive ? OrderedPeerService : FramedPeerService);
+		try {
+			await run.start();
+			await run.carryOut(makeAnswerSchedule(seed, shape));
+		} finally {
+			run.dispose();
+		}
+
+		const {events} = history;
+		return reportHistory(events, [...findForeignAnswers(events), ...findRepeatedExecutions(events), ...findFalseRefusals(events)]);
+	},
+};
--- /dev/null
+++ b/prove/naive/unprobed-peer-service.ts
@@ -0,0 +1,13 @@
+import {LogService} from '../../src/platform/log/log-service.js';
+import {MetricsService} from '../../src/platform/metrics/metrics-service.js';
+import {FramedPeerService} from '../../src/platform/peer/framed-peer-service.js';
+import {SettingsService} from '../../src/platform/settings/settings-service.js';
+
+const neverMs = 3_600_000;
+
+/** Naive counterpart of the care for silent connections: none is ever probed. */
+export class UnprobedPeerService extends FramedPeerService {
+	constructor(@SettingsService {settings, incarnation}: SettingsService, @LogService log: LogService, @MetricsService metrics: MetricsService) {
+		super({settings: {...settings, probeAfterMs: neverMs}, incarnation}, log, metrics);
+	}
+}
--- a/prove/proofs.ts
+++ b/prove/proofs.ts
@@ -1,3 +1,5 @@
+import {silentConnectionsProof} from './answers/silent-connections-proof.js';
+import {wholeAnswersProof} from './answers/whole-answers-proof.js';
 import {meshProof} from './ownership/mesh-proof.js';
 import {policyProof} from './policy/policy-proof.js';
 import {faultProof} from './process/fault-proof.js';
@@ -12,4 +14,6 @@
 	storeProof,
 	faultProof,
 	retryProof,
+	wholeAnswersProof,
+	silentConnectionsProof,
 ];
--- a/src/platform/peer/call-receiver.ts
+++ b/src/platform/peer/call-receiver.ts
@@ -75,7 +75,7 @@
 
 	private async run(id: string, method: string, wireCall: WireCall, from: PeerIdentity, controller: AbortController): Promise<CallOutcome> {
 		const timer = setTimeout(() => {
-			controller.abort();
+			controller.abort(new KumquatlineError(ErrorKind.DeadlineExceeded, 'the call took too long'));
 		}, Math.max(0, wireCall.timeoutMs));
 		try {
 			const handler = this.handlers.get(method);
--- a/src/platform/peer/peer-link.ts
+++ b/src/platform/peer/peer-link.ts
@@ -18,8 +18,8 @@
 	ended: boolean;
 };
 
-/** Connections that one call may outlive. */
-const maxResends = 3;
+/** Connections that one call is tried over. */
+const maxTries = 4;
 
 /** The way to one run of a peer: at most one connection, replaced when it is lost. */
 export class PeerLink {
@@ -60,14 +60,14 @@
 
 	/** Sends the call, and sends it again under its id when its connection is lost. */
 	private async send(call: LinkCall): Promise<unknown> {
-		for (let sends = 0; sends <= maxResends && !call.ended; sends++) {
+		for (let tries = 0; tries < maxTries && !call.ended; tries++) {
 			const connection = await this.connect(call);
-			await connection.whenWritable();
+			await connection?.whenWritable();
 			if (call.ended) {
 				break;
 			}
 
-			if (connection.isClosed) {
+			if (!connection || connection.isClosed) {
 				continue;
 			}
 
@@ -89,16 +89,25 @@
 		return this.connection !== undefined && !this.connection.isClosed;
 	}
 
-	private async connect(call: LinkCall): Promise<PeerConnection> {
+	/** The connection there is, or a new one; undefined when a new one fell silent and another is worth a try. */
+	private async connect(call: LinkCall): Promise<PeerConnection | undefined> {
 		if (this.isOpen()) {
-			return this.connection!;
+			return this.connection;
 		}
 
 		this.connecting ??= this.open();
 		try {
 			return await this.connecting;
 		} catch (error) {
-			throw call.sent ? this.lost(call, 'it can not be reached any more', error) : error;
+			if (!call.sent) {
+				throw error;
+			}
+
+			if (!(error instanceof KumquatlineError) || error.kind !== ErrorKind.PeerUnreachable) {
+				throw this.lost(call, 'it can not be reached any more', error);
+			}
+
+			return undefined;
 		}
 	}
 
--- a/src/platform/peer/peer-service.ts
+++ b/src/platform/peer/peer-service.ts
@@ -7,7 +7,7 @@
 export type PeerCall = {
 	readonly from: {readonly nodeId: string; readonly incarnation: string};
 	readonly callId: string;
-	/** Aborted when the calling node cancels or the call's time is over. */
+	/** Aborted when the calling node cancels, or with a `deadline-exceeded` when the call's time is over. */
 	readonly signal: AbortSignal;
 };
 
--- a/src/services/backend/answer-collector.ts
+++ b/src/services/backend/answer-collector.ts
@@ -3,6 +3,7 @@
 import {Deferred} from '../../base/deferred.js';
 import {ErrorKind} from '../../base/error-kind.js';
 import {KumquatlineError} from '../../base/kumquatline-error.js';
+import {BackendHeader} from './backend-header.js';
 
 type Headers = Readonly<Record<string, string | readonly string[] | undefined>>;
 
@@ -25,7 +26,8 @@
 	private controller: Dispatcher.DispatchController | undefined;
 	private abandonedFor: Error | undefined;
 
-	constructor(private readonly maxAnswerBytes: number) {}
+	/** `context` is the token of the call; an answer that carries another one belongs to another call. */
+	constructor(private readonly maxAnswerBytes: number, private readonly context: string) {}
 
 	get whole(): Promise<CollectedAnswer> {
 		return this.answer.promise;
@@ -52,6 +54,12 @@
 	}
 
 	onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: Headers): void {
+		const context = headers[BackendHeader.Context];
+		if (context !== undefined && context !== this.context) {
+			this.abandon(new KumquatlineError(ErrorKind.BackendFailed, 'the answer belongs to another call'));
+			return;
+		}
+
 		if (status >= firstFinalStatus) {
 			this.status = status;
 			this.headers = headers;
--- a/src/services/backend/backend-client.ts
+++ b/src/services/backend/backend-client.ts
@@ -27,8 +27,8 @@
 		});
 	}
 
-	async send(request: CallRequest, ownHeaders: Readonly<Record<string, string>>, maxAnswerBytes: number, signal: AbortSignal): Promise<CallAnswer> {
-		const collector = new AnswerCollector(maxAnswerBytes);
+	async send(request: CallRequest, token: string, maxAnswerBytes: number, signal: AbortSignal): Promise<CallAnswer> {
+		const collector = new AnswerCollector(maxAnswerBytes, token);
 		const cancel = () => {
 			collector.abandon(new KumquatlineError(ErrorKind.CallerGone, 'the call was cancelled', collector.wasSent ? {} : {started: false}));
 		};
@@ -38,7 +38,12 @@
 			this.pool.dispatch({
 				method: request.method,
 				path: request.target,
-				headers: {...request.headers, ...ownHeaders},
+				headers: {
+					...request.headers,
+					[BackendHeader.Context]: token,
+					[BackendHeader.DeadlineMs]: String(Math.max(1, request.context.deadlineAtMs - Date.now())),
+					[BackendHeader.RequestId]: request.requestId,
+				},
 				body: request.bodyBase64 === '' ? undefined : Buffer.from(request.bodyBase64, 'base64'),
 			}, collector);
 			return toAnswer(await collector.whole);
--- a/src/services/backend/loopback-backend-service.ts
+++ b/src/services/backend/loopback-backend-service.ts
@@ -129,18 +129,15 @@
 		};
 
 		const leave = () => {
-			end(ErrorKind.CallerGone);
+			const isLate = signal.reason instanceof KumquatlineError && signal.reason.kind === ErrorKind.DeadlineExceeded;
+			end(isLate ? ErrorKind.DeadlineExceeded : ErrorKind.CallerGone);
 		};
 
 		const timer = setTimeout(end, remainingMs, ErrorKind.DeadlineExceeded);
 		signal.addEventListener('abort', leave, {once: true});
 		this.running.set(token, call);
 		try {
-			return await client.send(call.request, {
-				[BackendHeader.Context]: token,
-				[BackendHeader.DeadlineMs]: String(remainingMs),
-				[BackendHeader.RequestId]: call.request.requestId,
-			}, this.policyService.current.maxAnswerBytes, ending.signal);
+			return await client.send(call.request, token, this.policyService.current.maxAnswerBytes, ending.signal);
 		} catch (error) {
 			throw call.endedBy ? endedEarly(call.endedBy, error) : error;
 		} finally {
