Learn the limit of each backend server from own time

Cause: announced slots were taken at their word. Change: a limit that begins at a quarter of them, grows while work waits, and tells a slow backend server from an overfilled one by a short trial at 0.7 of the limit: own time that falls with the limit was queueing inside. It falls when the backend server sheds. Deeper work is favoured by 0.3 of an importance, as other services have paid for it. A first form judged a trial by work begun before it, and a backend server with 4 of 16 announced slots kept 16; only work begun under the present limit counts now. Tests under a paused clock pass, AnnouncedLimitService is the naive counterpart.

--- a/bench/overload/run.ts
+++ b/bench/overload/run.ts
@@ -6,6 +6,7 @@
 import {KumquatlineSystem} from './kumquatline-system.js';
 import {lahoreSetup} from './lahore-setup.js';
 import {measureRun} from './measure-run.js';
+import {misledSetup} from './misled-setup.js';
 import {type OverloadFigures} from './overload-figures.js';
 import {perthSetup} from './perth-setup.js';
 import {runLoad} from './run-load.js';
@@ -21,13 +22,13 @@
 	readonly systems: readonly OverloadFigures[];
 };
 
-const setups = [smallSetup, perthSetup, lahoreSetup];
+const setups = [smallSetup, misledSetup, perthSetup, lahoreSetup];
 const variantFile = fileURLToPath(new URL('variant-node.js', import.meta.url));
 
 /**
 Runs the same load with the same trigger against each system in turn.
 
-`--setup small|perth|lahore`; `--against DIR` adds the build in DIR/dist; `--without NAME` adds this build with a simpler form;
+`--setup small|misled|perth|lahore`; `--against DIR` adds the build in DIR/dist; `--without NAME` adds this build with a simpler form;
 `--only NAME` leaves out all systems but one.
 */
 export async function run({seed, args}: BenchOptions): Promise<OverloadReport> {
--- a/bench/overload/simpler-forms.ts
+++ b/bench/overload/simpler-forms.ts
@@ -1,4 +1,6 @@
 import {type Kernel} from '../../src/platform/kernel/kernel.js';
+import {AnnouncedLimitService} from '../../src/services/admission/announced-limit-service.js';
+import {LimitService} from '../../src/services/admission/limit-service.js';
 import {OpenThresholdService} from '../../src/services/admission/open-threshold-service.js';
 import {ThresholdService} from '../../src/services/admission/threshold-service.js';
 import {PolicyRoutingService} from '../../src/services/routing/policy-routing-service.js';
@@ -12,6 +14,9 @@
 
 /** Decisions that the bench can replace by a simpler form, by name. */
 export const simplerForms: ReadonlyMap<string, (kernel: Kernel) => void> = new Map([
+	['learned-limit', kernel => {
+		kernel.register(LimitService, AnnouncedLimitService);
+	}],
 	['threshold', kernel => {
 		kernel.register(ThresholdService, OpenThresholdService);
 	}],
--- a/src/services/admission/admission-service.ts
+++ b/src/services/admission/admission-service.ts
@@ -19,8 +19,8 @@
 	Throws `overloaded` (refused or pushed out), `deadline-exceeded` or `caller-gone`, all with `started: false`, for work that never ran.
 	*/
 	run<T>(context: CallContext, work: AdmittedWork<T>, signal: AbortSignal): Promise<T>;
-	/** Bounds that the backend server announced; a new one begins from a low limit. */
-	setAnnounced(slots: number, connections: number): void;
+	/** Bounds that the backend server announced; one at another port is new and begins from a low limit. */
+	setAnnounced(slots: number, connections: number, port?: number): void;
 	/** The backend server shed work: the limit falls. */
 	noteShed(): void;
 	/** Resolves when nothing is queued or running. */
--- /dev/null
+++ b/src/services/admission/announced-limit-service.ts
@@ -0,0 +1,22 @@
+import {type LimitService} from './limit-service.js';
+
+/** Simpler form: the backend server's own word is taken. */
+export class AnnouncedLimitService implements LimitService {
+	private announced = 0;
+
+	get limit(): number {
+		return this.announced;
+	}
+
+	setAnnounced(slots: number, connections: number): void {
+		this.announced = Math.min(slots, connections);
+	}
+
+	noteEnd(): void {
+		// Nothing is learned.
+	}
+
+	noteShed(): void {
+		// Nothing is learned.
+	}
+}
--- a/src/services/admission/own-time-meter.ts
+++ b/src/services/admission/own-time-meter.ts
@@ -2,7 +2,8 @@
 
 /** Measures the time of one execution during which none of its sub-calls was running. */
 export class OwnTimeMeter implements OwnTime {
-	private readonly beganAtMs = performance.now();
+	/** Monotonic clock. */
+	readonly beganAtMs = performance.now();
 	private subCallCount = 0;
 	private subCallsSinceMs = 0;
 	private subCallsMs = 0;
--- a/src/services/admission/queue-admission-service.ts
+++ b/src/services/admission/queue-admission-service.ts
@@ -6,6 +6,7 @@
 import {type CallContext} from '../calls/call-context.js';
 import {type AdmissionService, type AdmittedWork} from './admission-service.js';
 import {admitsAt} from './admits-at.js';
+import {LimitService} from './limit-service.js';
 import {OwnTimeAverage} from './own-time-average.js';
 import {OwnTimeMeter} from './own-time-meter.js';
 import {ThresholdService} from './threshold-service.js';
@@ -16,6 +17,8 @@
 /** Most work that waits at one node. */
 const queueCapacity = 512;
 
+/** Part of an importance by which work is favoured that other services have paid for. */
+const paidAllowance = 0.3;
 /** Time after which a refused caller may find room. */
 const retryAfterMs = 1000;
 
@@ -24,20 +27,20 @@
 	private readonly queue = new WaitingQueue(queueCapacity);
 	private readonly ownTime = new OwnTimeAverage();
 	private readonly idleWaiters: Array<Deferred<void>> = [];
-	private limit = 0;
 	private running = 0;
 	private queueWaitMs = 0;
 
 	constructor(
 		@MetricsService private readonly metrics: MetricsService,
 		@ThresholdService private readonly threshold: ThresholdService,
+		@LimitService private readonly limit: LimitService,
 	) {}
 
 	get load(): UpstreamLoad {
 		this.observe();
 		return {
 			inFlight: this.running,
-			limit: this.limit,
+			limit: this.limit.limit,
 			queued: this.queue.length,
 			queueWaitMs: this.queueWaitMs,
 			threshold: this.threshold.threshold,
@@ -48,22 +51,24 @@
 		await this.enter(context, signal);
 		const ownTime = new OwnTimeMeter();
 		try {
-			return await work(ownTime, signal);
+			const result = await work(ownTime, signal);
+			this.noteEnd(ownTime);
+			return result;
 		} finally {
-			this.ownTime.note(ownTime.ownTimeMs);
 			this.running--;
 			this.startWaiting();
 			this.settleIdle();
 		}
 	}
 
-	setAnnounced(slots: number, connections: number): void {
-		this.limit = Math.min(slots, connections);
+	setAnnounced(slots: number, connections: number, port = 0): void {
+		this.limit.setAnnounced(slots, connections, port);
 		this.startWaiting();
 	}
 
 	noteShed(): void {
 		this.metrics.count('admission.shed');
+		this.limit.noteShed(this.running);
 	}
 
 	async whenIdle(): Promise<void> {
@@ -80,7 +85,7 @@
 		}
 
 		this.observe();
-		if (!admitsAt(this.threshold.threshold, context)) {
+		if (!this.admits(context)) {
 			this.metrics.count('admission.refused', {importance: context.importance, caller: context.caller});
 			throw notRun(ErrorKind.Overloaded, 'work of this importance is refused at present');
 		}
@@ -106,8 +111,16 @@
 		}
 	}
 
+	/** Learns from an execution that was not cut short. */
+	private noteEnd({beganAtMs, ownTimeMs}: OwnTimeMeter): void {
+		this.ownTime.note(ownTimeMs);
+		this.limit.noteEnd({
+			beganAtMs, ownTimeMs, running: this.running, hadWaiting: this.queue.length > 0,
+		});
+	}
+
 	private startWaiting(): void {
-		while (this.running < this.limit) {
+		while (this.running < this.limit.limit) {
 			const work = this.queue.takeFirst();
 			if (!work) {
 				return;
@@ -124,15 +137,20 @@
 		const {oldestAtMs} = this.queue;
 		this.threshold.observe({
 			oldestWaitMs: oldestAtMs === undefined ? 0 : performance.now() - oldestAtMs,
-			isFull: this.running >= this.limit,
+			isFull: this.running >= this.limit.limit,
 			ownTimeMs: this.ownTime.valueMs,
 		});
 	}
 
+	/** Deeper work passed the entry under a threshold that may have risen since; what is paid for it is not thrown away lightly. */
+	private admits(context: CallContext): boolean {
+		const {threshold} = this.threshold;
+		return admitsAt(context.depth > 1 ? threshold - paidAllowance : threshold, context);
+	}
+
 	/** Work that was queued before the threshold rose above it. */
 	private refuseBelowThreshold(): void {
-		const {threshold} = this.threshold;
-		for (const work of this.queue.removeWhere(({context}) => !admitsAt(threshold, context))) {
+		for (const work of this.queue.removeWhere(({context}) => !this.admits(context))) {
 			this.metrics.count('admission.refused', {importance: work.context.importance, caller: work.context.caller});
 			work.refuse(notRun(ErrorKind.Overloaded, 'work of this importance is refused at present'));
 		}
--- a/src/services/admission/test/delay-threshold-service.test.ts
+++ b/src/services/admission/test/delay-threshold-service.test.ts
@@ -2,6 +2,7 @@
 import test from 'ava';
 import {ErrorKind} from '../../../base/error-kind.js';
 import {Importance} from '../../policy/importance.js';
+import {AnnouncedLimitService} from '../announced-limit-service.js';
 import {DelayThresholdService} from '../delay-threshold-service.js';
 import {OpenThresholdService} from '../open-threshold-service.js';
 import {QueueAdmissionService} from '../queue-admission-service.js';
@@ -24,7 +25,7 @@
 });
 
 async function overload(threshold: ThresholdService): Promise<OverloadSimulation> {
-	const admission = new QueueAdmissionService(new SilentMetricsService(), threshold);
+	const admission = new QueueAdmissionService(new SilentMetricsService(), threshold, new AnnouncedLimitService());
 	admission.setAnnounced(slots, 100);
 	const simulation = new OverloadSimulation(clock, admission, serviceTimeMs);
 	await simulation.send(3 * capacityPerSecond, 10_000);
@@ -63,7 +64,7 @@
 
 test.serial('a burst that the queue absorbs raises nothing', async t => {
 	const threshold = new DelayThresholdService();
-	const admission = new QueueAdmissionService(new SilentMetricsService(), threshold);
+	const admission = new QueueAdmissionService(new SilentMetricsService(), threshold, new AnnouncedLimitService());
 	admission.setAnnounced(slots, 100);
 	const simulation = new OverloadSimulation(clock, admission, serviceTimeMs);
 	await simulation.send(0.5 * capacityPerSecond, 2000);
--- /dev/null
+++ b/src/services/admission/test/learned-limit-service.test.ts
@@ -0,0 +1,120 @@
+import {install, type Clock} from '@sinonjs/fake-timers';
+import test from 'ava';
+import {sleep} from '../../../base/sleep.js';
+import {type OwnTime} from '../admission-service.js';
+import {AnnouncedLimitService} from '../announced-limit-service.js';
+import {LearnedLimitService} from '../learned-limit-service.js';
+import {type LimitService} from '../limit-service.js';
+import {OpenThresholdService} from '../open-threshold-service.js';
+import {QueueAdmissionService} from '../queue-admission-service.js';
+import {makeContext} from './make-context.js';
+import {SilentMetricsService} from './silent-metrics-service.js';
+import {SimulatedBackend} from './simulated-backend.js';
+
+const announcedSlots = 16;
+const serviceTimeMs = 50;
+const queueLength = 40;
+
+let clock: Clock;
+
+test.beforeEach(() => {
+	clock = install();
+});
+
+test.afterEach.always(() => {
+	clock.uninstall();
+});
+
+class Load {
+	readonly admission: QueueAdmissionService;
+
+	constructor(limit: LimitService, private readonly work: (ownTime: OwnTime) => Promise<void>) {
+		this.admission = new QueueAdmissionService(new SilentMetricsService(), new OpenThresholdService(), limit);
+		this.admission.setAnnounced(announcedSlots, 100, 1);
+	}
+
+	/** Keeps the queue filled. */
+	async press(durationMs: number): Promise<void> {
+		for (let passedMs = 0; passedMs < durationMs; passedMs += 10) {
+			while (this.admission.load.queued < queueLength) {
+				void this.admission.run(makeContext(), this.work, new AbortController().signal);
+			}
+
+			await clock.tickAsync(10);
+		}
+	}
+}
+
+test.serial('the limit begins low after a cold start and grows to the slots', async t => {
+	const backend = new SimulatedBackend(announcedSlots, serviceTimeMs);
+	const load = new Load(new LearnedLimitService(), async () => backend.serve());
+	t.is(load.admission.load.limit, 4);
+	await load.press(3000);
+	t.is(load.admission.load.limit, announcedSlots);
+});
+
+test.serial('slots that are announced but not there are found out', async t => {
+	const backend = new SimulatedBackend(4, serviceTimeMs);
+	const load = new Load(new LearnedLimitService(), async () => backend.serve());
+	await load.press(5000);
+	backend.mostRunning = 0;
+	await load.press(10_000);
+	t.true(backend.mostRunning <= 8);
+	t.true(load.admission.load.limit >= 3);
+});
+
+test.serial('a limit that takes the announced slots fills the queue inside the backend server', async t => {
+	const backend = new SimulatedBackend(4, serviceTimeMs);
+	const load = new Load(new AnnouncedLimitService(), async () => backend.serve());
+	await load.press(5000);
+	t.is(backend.mostRunning, announcedSlots);
+});
+
+test.serial('a backend server that is slow at any concurrency keeps its limit', async t => {
+	const backend = new SimulatedBackend(announcedSlots, serviceTimeMs);
+	const load = new Load(new LearnedLimitService(), async () => backend.serve());
+	await load.press(3000);
+	backend.slowFactor = 3;
+	await load.press(3000);
+	t.is(load.admission.load.limit, announcedSlots);
+});
+
+test.serial('slow sub-calls do not lower the limit', async t => {
+	let subCallMs = 10;
+	const load = new Load(new LearnedLimitService(), async ownTime => {
+		await sleep(serviceTimeMs);
+		ownTime.subCallBegan();
+		await sleep(subCallMs);
+		ownTime.subCallEnded();
+	});
+	await load.press(3000);
+	t.is(load.admission.load.limit, announcedSlots);
+	subCallMs = 500;
+	for (let index = 0; index < 20; index++) {
+		await load.press(200);
+		t.is(load.admission.load.limit, announcedSlots);
+	}
+});
+
+test.serial('the limit falls when the backend server sheds, and grows back one by one', async t => {
+	const backend = new SimulatedBackend(announcedSlots, serviceTimeMs);
+	const load = new Load(new LearnedLimitService(), async () => backend.serve());
+	await load.press(3000);
+	load.admission.noteShed();
+	load.admission.noteShed();
+	t.is(load.admission.load.limit, 12);
+	await load.press(900);
+	t.is(load.admission.load.limit, 12);
+	await load.press(3000);
+	t.is(load.admission.load.limit, announcedSlots);
+});
+
+test.serial('a backend server at another port begins anew', async t => {
+	const backend = new SimulatedBackend(announcedSlots, serviceTimeMs);
+	const load = new Load(new LearnedLimitService(), async () => backend.serve());
+	await load.press(3000);
+	load.admission.setAnnounced(announcedSlots, 100, 1);
+	t.is(load.admission.load.limit, announcedSlots);
+	load.admission.setAnnounced(announcedSlots, 100, 2);
+	t.is(load.admission.load.limit, 4);
+});
--- a/src/services/admission/test/queue-admission-service.test.ts
+++ b/src/services/admission/test/queue-admission-service.test.ts
@@ -3,13 +3,14 @@
 import {ErrorKind} from '../../../base/error-kind.js';
 import {type KumquatlineError} from '../../../base/kumquatline-error.js';
 import {Importance} from '../../policy/importance.js';
+import {AnnouncedLimitService} from '../announced-limit-service.js';
 import {OpenThresholdService} from '../open-threshold-service.js';
 import {QueueAdmissionService} from '../queue-admission-service.js';
 import {makeContext} from './make-context.js';
 import {SilentMetricsService} from './silent-metrics-service.js';
 
 function makeAdmission(slots: number): QueueAdmissionService {
-	const admission = new QueueAdmissionService(new SilentMetricsService(), new OpenThresholdService());
+	const admission = new QueueAdmissionService(new SilentMetricsService(), new OpenThresholdService(), new AnnouncedLimitService());
 	admission.setAnnounced(slots, 100);
 	return admission;
 }
--- /dev/null
+++ b/src/services/admission/test/simulated-backend.ts
@@ -0,0 +1,23 @@
+import {sleep} from '../../../base/sleep.js';
+
+/** Backend server under a paused clock with fewer real slots than it may announce; the rest queues inside. */
+export class SimulatedBackend {
+	running = 0;
+	mostRunning = 0;
+	slowFactor = 1;
+	private freeAtMs: number[] = [];
+
+	constructor(private readonly slots: number, private readonly serviceTimeMs: number) {}
+
+	async serve(): Promise<void> {
+		this.running++;
+		this.mostRunning = Math.max(this.mostRunning, this.running);
+		const nowMs = Date.now();
+		this.freeAtMs = this.freeAtMs.filter(freeAtMs => freeAtMs > nowMs).sort((left, right) => left - right);
+		const startAtMs = this.freeAtMs.length < this.slots ? nowMs : this.freeAtMs[this.freeAtMs.length - this.slots];
+		const endAtMs = startAtMs + (this.serviceTimeMs * this.slowFactor);
+		this.freeAtMs.push(endAtMs);
+		await sleep(endAtMs - nowMs);
+		this.running--;
+	}
+}
--- a/src/services/calls/call-executor.ts
+++ b/src/services/calls/call-executor.ts
@@ -37,7 +37,12 @@
 			const answer = await this.execute(request, signal);
 			return {answer, load: this.load()};
 		} catch (error) {
-			return {failure: toWireError(error), load: this.load()};
+			const failure = toWireError(error);
+			if (failure.kind === ErrorKind.BackendShed) {
+				this.admission.noteShed();
+			}
+
+			return {failure, load: this.load()};
 		}
 	}
 
