Prove the policy's promises with separate processes and the command line

Change: operators race with kumquatline at nodes in processes of their own while VMs are killed, nodes frozen and the store is away, silent or loses answers; one predicate checks what they were told against the history and every node's versions.

--- a/prove/policy/check-policy-history.ts
+++ b/prove/policy/check-policy-history.ts
@@ -45,8 +45,8 @@
 function checkOneContent(events: readonly PolicyEvent[]): string[] {
 	const violations: string[] = [];
 	const digests = new Map<number, string>();
-	for (const {kind, version = 0, digest = ''} of events) {
-		if (kind !== PolicyEventKind.InForce && kind !== PolicyEventKind.Stored) {
+	for (const {version = 0, digest} of events) {
+		if (digest === undefined) {
 			continue;
 		}
 
--- a/prove/proofs.ts
+++ b/prove/proofs.ts
@@ -1,6 +1,7 @@
 import {silentConnectionsProof} from './answers/silent-connections-proof.js';
 import {wholeAnswersProof} from './answers/whole-answers-proof.js';
 import {meshProof} from './ownership/mesh-proof.js';
+import {policyProcessProof} from './policy/policy-process-proof.js';
 import {policyProof} from './policy/policy-proof.js';
 import {faultProof} from './process/fault-proof.js';
 import {retryProof} from './process/retry-proof.js';
@@ -12,6 +13,7 @@
 	meshProof,
 	policyProof,
 	storeProof,
+	policyProcessProof,
 	faultProof,
 	retryProof,
 	wholeAnswersProof,
--- a/standins/graph/process-graph.ts
+++ b/standins/graph/process-graph.ts
@@ -10,7 +10,7 @@
 const settleTimeoutMs = 20_000;
 const pollMs = 50;
 
-type StatusMember = {nodeId: string; service?: string; state: string};
+type StatusMember = {nodeId: string; incarnation: string; service?: string; state: string};
 type Status = {self: StatusMember; policyVersion: number; members: StatusMember[]; shards: Array<{service: string}>};
 
 /** A store, nodes and backend servers as separate processes on loopback. */
@@ -67,8 +67,8 @@
 		await post(`${this.node(nodeId).backendServerUrl}/stand-in/faults`, faults);
 	}
 
-	async status(nodeId: string): Promise<Status> {
-		const {body} = await request(`${this.node(nodeId).url}/kumquatline/status`);
+	async status(nodeId: string, signal?: AbortSignal): Promise<Status> {
+		const {body} = await request(`${this.node(nodeId).url}/kumquatline/status`, {signal});
 		return await body.json() as Status;
 	}
 
