--- a/src/programs/node/node.ts
+++ b/src/programs/node/node.ts
@@ -1,3 +1,4 @@
+import {once} from 'node:events';
 import {type Disposable} from '../../base/disposable.js';
 import {DisposableStore} from '../../base/disposable-store.js';
 import {type Kernel} from '../../platform/kernel/kernel.js';
@@ -36,16 +37,12 @@
 		this.reportPorts();
 	}
 
-	/** Announces the leaving, hands everything over, finishes what runs and ends the registration. */
+	/** Announces the leaving, hands everything over, finishes what runs and ends the registration; throws when that takes too long. */
 	async stop(): Promise<void> {
 		const {shutdownTimeoutMs} = this.kernel.get(SettingsService).settings;
 		const signal = AbortSignal.timeout(shutdownTimeoutMs);
 		this.log.info('leaving');
-		this.kernel.get(MembershipService).drain();
-		await this.kernel.get(OwnershipService).handOver(signal);
-		await this.kernel.get(CallerService).close();
-		await this.kernel.get(AdmissionService).whenIdle();
-		await this.kernel.get(MembershipService).leave(signal);
+		await Promise.race([this.finish(signal), failAtEnd(signal, `work was still running after ${shutdownTimeoutMs} ms`)]);
 		this.log.info('left');
 	}
 
@@ -53,6 +50,14 @@
 		this.resources.dispose();
 	}
 
+	private async finish(signal: AbortSignal): Promise<void> {
+		this.kernel.get(MembershipService).drain();
+		await this.kernel.get(OwnershipService).handOver(signal);
+		await this.kernel.get(CallerService).close();
+		await this.kernel.get(AdmissionService).whenIdle();
+		await this.kernel.get(MembershipService).leave(signal);
+	}
+
 	private wireBackend(): void {
 		const backend = this.kernel.get(BackendService);
 		const calls = this.kernel.get(CallService);
@@ -77,3 +82,8 @@
 		});
 	}
 }
+
+async function failAtEnd(signal: AbortSignal, message: string): Promise<never> {
+	await once(signal, 'abort');
+	throw new Error(message);
+}
