Keep the bound of silence exact; do not blame peers for this process's standstill

Found by the back-pressure test: a process that was busy for 100 ms gave its new connection up, though the hello lay unread in its socket. A timer that fires late now waits once more. Found by the test under a paused clock: after an answered probe the next one could come later than its time. A leaving node now tells callers so on open connections before it closes idle ones, and queue wait is recorded by caller class and operation.

--- a/src/platform/peer/framed-peer-service.ts
+++ b/src/platform/peer/framed-peer-service.ts
@@ -16,6 +16,7 @@
 import {PeerConnection} from './peer-connection.js';
 import {PeerLink, type LinkCall} from './peer-link.js';
 import {type PeerMethod} from './peer-method.js';
+import {startSilenceTimer} from './start-silence-timer.js';
 import {type PeerCall, type PeerCallOptions, type PeerService} from './peer-service.js';
 
 /** How much longer than its time a call waits for the peer's own word on how it ended. */
@@ -158,9 +159,9 @@
 	private async dial(peer: PeerAddress): Promise<PeerConnection> {
 		const socket = connect({host: peer.address, port: peer.peerPort});
 		const connection = this.open(socket);
-		const timer = setTimeout(() => {
+		const timer = startSilenceTimer(this.settingsService.settings.abandonAfterMs, () => {
 			connection.dispose();
-		}, this.settingsService.settings.abandonAfterMs);
+		});
 		try {
 			const {nodeId, incarnation} = await connection.peer;
 			if (incarnation !== peer.incarnation) {
@@ -170,7 +171,7 @@
 
 			return connection;
 		} finally {
-			clearTimeout(timer);
+			timer.dispose();
 		}
 	}
 
--- a/src/platform/peer/peer-connection.ts
+++ b/src/platform/peer/peer-connection.ts
@@ -187,7 +187,7 @@
 			this.channel.send(response);
 		}
 
-		if (this.channel.isStuck) {
+		if (!this.isClosed && this.channel.isStuck) {
 			this.options.metrics.count('peer.stuck_readers');
 			this.dispose();
 		}
--- a/src/platform/peer/silence-watch.ts
+++ b/src/platform/peer/silence-watch.ts
@@ -1,4 +1,5 @@
 import {type Disposable} from '../../base/disposable.js';
+import {startSilenceTimer} from './start-silence-timer.js';
 
 type SilenceActions = {
 	/** Asks the other end for a sign of life. */
@@ -9,7 +10,7 @@
 
 /** Watches a connection for silence while something is outstanding on it. */
 export class SilenceWatch implements Disposable {
-	private timer: NodeJS.Timeout | undefined;
+	private timer: Disposable | undefined;
 	private quietSinceMs = 0;
 	private probed = false;
 
@@ -22,7 +23,8 @@
 	/** Something became outstanding. */
 	begin(): void {
 		if (!this.timer) {
-			this.noteReceived();
+			this.quietSinceMs = performance.now();
+			this.probed = false;
 			this.arm(this.probeAfterMs);
 		}
 	}
@@ -36,18 +38,22 @@
 
 	noteReceived(): void {
 		this.quietSinceMs = performance.now();
-		this.probed = false;
+		if (this.probed) {
+			this.probed = false;
+			this.timer?.dispose();
+			this.arm(this.probeAfterMs);
+		}
 	}
 
 	dispose(): void {
-		clearTimeout(this.timer);
+		this.timer?.dispose();
 		this.timer = undefined;
 	}
 
 	private arm(delayMs: number): void {
-		this.timer = setTimeout(() => {
+		this.timer = startSilenceTimer(delayMs, () => {
 			this.check();
-		}, delayMs);
+		});
 	}
 
 	private check(): void {
--- /dev/null
+++ b/src/platform/peer/test/silence-watch.test.ts
@@ -0,0 +1,62 @@
+import {install} from '@sinonjs/fake-timers';
+import test from 'ava';
+import {SilenceWatch} from '../silence-watch.js';
+
+const probeAfterMs = 300;
+const abandonAfterMs = 500;
+
+/** A watch under a paused clock, with what it did. */
+function startWatch(t: {teardown(release: () => void): void}) {
+	const clock = install({toFake: ['setTimeout', 'clearTimeout', 'performance']});
+	t.teardown(() => {
+		clock.uninstall();
+	});
+	const actions: string[] = [];
+	const act = (name: string) => () => {
+		actions.push(`${name} at ${performance.now()}`);
+	};
+
+	return {clock, actions, watch: new SilenceWatch(probeAfterMs, abandonAfterMs, {probe: act('probe'), abandon: act('abandon')})};
+}
+
+test.serial('silence with a call outstanding is probed, and abandoned when the probe is not answered', t => {
+	const {clock, actions, watch} = startWatch(t);
+	watch.begin();
+	clock.tick(10_000);
+	t.deepEqual(actions, ['probe at 300', 'abandon at 800']);
+});
+
+test.serial('silence without a call outstanding is nobody\'s concern', t => {
+	const {clock, actions, watch} = startWatch(t);
+	watch.begin();
+	clock.tick(100);
+	watch.end(0);
+	clock.tick(10_000);
+	t.deepEqual(actions, []);
+});
+
+test.serial('a sign of life begins the silence anew, before a probe and after it', t => {
+	const {clock, actions, watch} = startWatch(t);
+	watch.begin();
+	clock.tick(200);
+	watch.noteReceived();
+	clock.tick(299);
+	t.deepEqual(actions, []);
+	clock.tick(1);
+	clock.tick(499);
+	t.deepEqual(actions, ['probe at 500']);
+	watch.noteReceived();
+	clock.tick(10_000);
+	t.deepEqual(actions, ['probe at 500', 'probe at 1299', 'abandon at 1799']);
+});
+
+test.serial('a process that stood still waits once more before it blames the other end', t => {
+	const {clock, actions, watch} = startWatch(t);
+	watch.begin();
+	clock.tick(300);
+	clock.jump(5000);
+	t.deepEqual(actions, ['probe at 300']);
+	watch.noteReceived();
+	clock.tick(500);
+	t.deepEqual(actions, ['probe at 300', 'probe at 5600']);
+});
--- a/src/services/callers/caller-service.ts
+++ b/src/services/callers/caller-service.ts
@@ -4,7 +4,7 @@
 export interface CallerService {
 	readonly port: number;
 	listen(): Promise<void>;
-	/** Takes no new connections, answers new requests with `draining`, and resolves when the running ones are answered. */
+	/** Answers new requests with `draining`, a little later takes no new connections, and resolves when the running requests are answered. */
 	close(): Promise<void>;
 }
 
--- a/src/services/callers/http-caller-service.ts
+++ b/src/services/callers/http-caller-service.ts
@@ -2,6 +2,7 @@
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {type Duplex} from 'node:stream';
+import {setTimeout as delay} from 'node:timers/promises';
 import createRouter from 'find-my-way';
 import {z} from 'zod';
 import {type Disposable} from '../../base/disposable.js';
@@ -31,6 +32,11 @@
 
 const idsRequest = z.strictObject({count: z.number().int().min(1).max(1000)});
 const maxControlBodyBytes = 1024;
+/** How long a leaving node still tells callers so, before idle connections are closed. */
+const lingerMs = 300;
+const requestTimeoutMs = 30_000;
+/** Longer than most clients keep idle connections, so that it is they who close them. */
+const keepAliveTimeoutMs = 75_000;
 const unknownOperation = 'unknown';
 
 /** Callers' and operators' HTTP/1.1; sends nothing of an answer before it is whole. */
@@ -41,7 +47,7 @@
 		},
 	});
 
-	private readonly server = createServer((request, response) => {
+	private readonly server = createServer({requestTimeout: requestTimeoutMs, keepAliveTimeout: keepAliveTimeoutMs}, (request, response) => {
 		this.router.lookup(request, response);
 	});
 
@@ -88,9 +94,9 @@
 
 	async close(): Promise<void> {
 		this.draining = true;
+		await delay(lingerMs);
 		const closed = once(this.server, 'close');
 		this.server.close();
-		this.server.closeIdleConnections();
 		await closed;
 	}
 
@@ -109,6 +115,7 @@
 			response.setHeader(CallerHeader.RequestId, id.requestId);
 			call = await this.read(request, id, enteredAtMs);
 			const answer = await this.run(call, id, response);
+			this.endConnectionIfLeaving(response);
 			writeAnswer(response, answer);
 			this.note(call, enteredAtMs, 'answered');
 		} catch (error) {
@@ -186,11 +193,15 @@
 			return;
 		}
 
+		this.endConnectionIfLeaving(response);
+		writeProblem(response, error, id);
+	}
+
+	/** Also after a request whose rest is not read. */
+	private endConnectionIfLeaving(response: ServerResponse): void {
 		if (this.draining || !response.req.complete) {
 			response.setHeader('connection', 'close');
 		}
-
-		writeProblem(response, error, id);
 	}
 
 	private note(call: CallRequest | undefined, enteredAtMs: number, outcome: string): void {
--- a/src/services/callers/test/edge-fixture.ts
+++ b/src/services/callers/test/edge-fixture.ts
@@ -59,7 +59,7 @@
 }
 
 /** The callers' and the backend server's side of one node, with a backend server behind it. */
-export async function startEdge(t: {teardown(release: () => void): void}, listener: RequestListener) {
+export async function startEdge(t: {teardown(release: () => void): void}, listener: (...exchange: Parameters<RequestListener>) => void | Promise<void>) {
 	const kernel = new Kernel()
 		.registerInstance(SettingsService, new FixedSettingsService(testSettings('edge'), 'incarnation'))
 		.registerInstance(LogService, {
--- a/src/services/callers/test/http-caller-service.test.ts
+++ b/src/services/callers/test/http-caller-service.test.ts
@@ -1,5 +1,6 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import test from 'ava';
+import {Deferred} from '../../../base/deferred.js';
 import {startEdge} from './edge-fixture.js';
 
 const echo = (request: IncomingMessage, response: ServerResponse) => {
@@ -55,10 +56,34 @@
 	t.true(child.context.deadlineAtMs <= parent.context.deadlineAtMs);
 });
 
-test('a closing service answers what runs and refuses what is new', async t => {
-	const edge = await startEdge(t, echo);
-	const {port} = edge.callers;
-	await fetch(`${edge.callerUrl}/stock/7`);
-	await edge.callers.close();
-	await t.throwsAsync(fetch(`http://127.0.0.1:${port}/stock/7`));
+test('a closing service finishes what runs, refuses what is new on open connections and then closes them', async t => {
+	const [began, gate] = [new Deferred<void>(), new Deferred<void>()];
+	const edge = await startEdge(t, async (_request, response) => {
+		began.resolve();
+		await gate.promise;
+		response.end('whole');
+	});
+	const running = fetch(`${edge.callerUrl}/stock/7`);
+	await began.promise;
+	const closed = edge.callers.close();
+	const refused = await fetch(`${edge.callerUrl}/stock/8`);
+	t.like(await refused.json(), {kind: 'draining', started: false});
+	t.is(refused.headers.get('connection'), 'close');
+	gate.resolve();
+	const response = await running;
+	t.is(await response.text(), 'whole');
+	t.is(response.headers.get('connection'), 'close');
+	await closed;
+	await t.throwsAsync(fetch(`${edge.callerUrl}/stock/7`));
+});
+
+test('an answer without content, and one with several cookies, arrive as they were', async t => {
+	const edge = await startEdge(t, (request, response) => {
+		response.writeHead(request.url === '/stock/0' ? 204 : 200, {'set-cookie': ['a=1', 'b=2']}).end();
+	});
+	const empty = await fetch(`${edge.callerUrl}/stock/0`);
+	t.is(empty.status, 204);
+	t.is(empty.headers.get('content-length'), null);
+	const cookies = await fetch(`${edge.callerUrl}/stock/1`);
+	t.deepEqual(cookies.headers.getSetCookie(), ['a=1', 'b=2']);
 });
--- a/src/services/callers/write-answer.ts
+++ b/src/services/callers/write-answer.ts
@@ -2,10 +2,17 @@
 import {type ServerResponse} from 'node:http';
 import {type CallAnswer} from '../calls/call-answer.js';
 
+/** Such an answer has no body and so no length (RFC 9110, 8.6). */
+const noContentStatus = 204;
+
 /** Sends a whole answer in one piece. */
 export function writeAnswer(response: ServerResponse, answer: CallAnswer): void {
 	const body = Buffer.from(answer.bodyBase64, 'base64');
-	const headers: Record<string, string | string[]> = {...answer.headers, 'content-length': String(body.length)};
+	const headers: Record<string, string | string[]> = {...answer.headers};
+	if (answer.status !== noContentStatus) {
+		headers['content-length'] = String(body.length);
+	}
+
 	if (typeof headers['set-cookie'] === 'string') {
 		headers['set-cookie'] = headers['set-cookie'].split('\n');
 	}
--- a/src/services/calls/call-executor.ts
+++ b/src/services/calls/call-executor.ts
@@ -2,6 +2,7 @@
 import {ErrorKind} from '../../base/error-kind.js';
 import {KumquatlineError} from '../../base/kumquatline-error.js';
 import {toWireError} from '../../base/to-wire-error.js';
+import {MetricsService} from '../../platform/metrics/metrics-service.js';
 import {PeerService} from '../../platform/peer/peer-service.js';
 import {AdmissionService} from '../admission/admission-service.js';
 import {type UpstreamLoad} from '../admission/upstream-load.js';
@@ -24,6 +25,7 @@
 		@BackendService private readonly backend: BackendService,
 		@MembershipService private readonly membership: MembershipService,
 		@RoutingService private readonly routing: RoutingService,
+		@MetricsService private readonly metrics: MetricsService,
 	) {
 		this.handler = peers.handle(executeMethod, async (request, call) => this.reply(request, call.signal));
 	}
@@ -60,7 +62,9 @@
 			throw new KumquatlineError(ErrorKind.Draining, 'the backend server is leaving', {started: false});
 		}
 
+		const queuedAtMs = performance.now();
 		return this.admission.run(request.context, async (ownTime, workSignal) => {
+			this.metrics.record('queue_wait', performance.now() - queuedAtMs, {caller: request.context.caller, operation: request.operation});
 			if (Date.now() >= request.context.deadlineAtMs) {
 				throw new KumquatlineError(ErrorKind.DeadlineExceeded, 'the deadline passed in the queue', {started: false});
 			}
