Grant retries from the owner of the root id; mint reserved ids

Cause: retries multiply at each hop unless one place counts them; and charges in a cut-off zone need an owner that depends on neither store nor lease. Change: the root id's owner counts retries and the caller's own repeats against the caller's total, carries the counts in a hand-over, and grants nothing without its right or after a takeover that lost the count; a node's retries stay under a share of its fresh calls beyond a burst of ten. Reserved ids name the run that minted them, are authenticated by HMAC under a key of that run, and belong to it, as do the ids of their sub-calls. Excluded: granting a caller's repeat when the owner can't be asked, which would let each cut-off node execute once more. Conclusion: a reserved id is not handed over: after a planned stop of its node it is refused with owner-unreachable.

--- a/prove/answers/single-execution-ownership-service.ts
+++ b/prove/answers/single-execution-ownership-service.ts
@@ -22,6 +22,14 @@
 		return true;
 	}
 
+	async findOwner(): Promise<undefined> {
+		return undefined;
+	}
+
+	drawRetry(): boolean {
+		return true;
+	}
+
 	reserve(): readonly string[] {
 		return [];
 	}
--- a/prove/naive/plain-ownership-service.ts
+++ b/prove/naive/plain-ownership-service.ts
@@ -22,6 +22,14 @@
 		return true;
 	}
 
+	async findOwner(): Promise<undefined> {
+		return undefined;
+	}
+
+	drawRetry(): boolean {
+		return true;
+	}
+
 	reserve(count: number): readonly string[] {
 		return Array.from({length: count}, () => randomUUID());
 	}
--- a/src/services/ownership/sharded-ownership-service.ts
+++ b/src/services/ownership/sharded-ownership-service.ts
@@ -13,19 +13,25 @@
 import {SettingsService} from '../../platform/settings/settings-service.js';
 import {StoreService} from '../../platform/store/store-service.js';
 import {type CallAnswer} from '../calls/call-answer.js';
+import {type CallContext} from '../calls/call-context.js';
 import {type CallRequest} from '../calls/call-request.js';
 import {UpstreamService} from '../calls/upstream-service.js';
 import {LeaseService} from '../membership/lease-service.js';
 import {MemberState} from '../membership/member-state.js';
+import {type Member} from '../membership/member.js';
 import {MembershipService} from '../membership/membership-service.js';
 import {PolicyService} from '../policy/policy-service.js';
 import {findRun} from './find-run.js';
+import {type HeldShard} from './held-shard.js';
 import {ownMethod, type OwnParams} from './own-method.js';
 import {type OwnReply} from './own-reply.js';
 import {type OwnershipService, type ShardSummary} from './ownership-service.js';
+import {parseReservedId} from './parse-reserved-id.js';
 import {pause} from './pause.js';
 import {reassignShards} from './reassign-shards.js';
 import {RequestOwner} from './request-owner.js';
+import {type ReservedId} from './reserved-id.js';
+import {ReservedIds} from './reserved-ids.js';
 import {resolveMethod, type ResolveParams} from './resolve-method.js';
 import {ShardArrivals} from './shard-arrivals.js';
 import {ShardDirectory} from './shard-directory.js';
@@ -38,7 +44,7 @@
 import {takeShardMethod} from './take-shard-method.js';
 
 const keepIntervalMs = 1000;
-const leaveRounds = 25;
+const leaveRounds = 10;
 const leavePauseMs = 200;
 /** How often a call is put to this node's own decision while hand-overs begin and end. */
 const ownRounds = 3;
@@ -52,13 +58,14 @@
 	private readonly handOvers: ShardHandOver;
 	private readonly arrivals = new ShardArrivals();
 	private readonly owner: RequestOwner;
+	private readonly reservedIds: ReservedIds;
 	private readonly lifetime = new AbortController();
 	private keeping: Promise<void> | undefined;
 	private isLeaving = false;
 
 	constructor(
 		@SettingsService settings: SettingsService,
-		@PolicyService policy: PolicyService,
+		@PolicyService private readonly policy: PolicyService,
 		@LeaseService private readonly lease: LeaseService,
 		@MembershipService private readonly membership: MembershipService,
 		@PeerService private readonly peers: PeerService,
@@ -66,6 +73,7 @@
 		@UpstreamService upstreams: UpstreamService,
 		@LogService log: LogService,
 	) {
+		this.reservedIds = new ReservedIds(settings.incarnation);
 		this.directory = this.disposables.add(new ShardDirectory(store, peers, membership));
 		this.holdings = new ShardHoldings(settings, policy, lease);
 		this.owner = new RequestOwner(settings, policy, upstreams);
@@ -112,12 +120,19 @@
 
 	async run(request: CallRequest, signal: AbortSignal): Promise<CallAnswer> {
 		const {service, requestId} = request;
-		const first = await this.tryOwner(request, await this.directory.find(service), signal);
+		const reserved = parseReservedId(requestId);
+		if (reserved) {
+			return this.runReserved(request, reserved, signal);
+		}
+
+		const table = await this.directory.find(service);
+		const first = table && await this.askOwner(request, table, signal);
 		if (first) {
 			return unwrap(first);
 		}
 
-		const second = await this.tryOwner(request, await this.directory.refresh(service), signal);
+		const newer = await this.directory.refresh(service);
+		const second = newer && await this.askOwner(request, newer, signal);
 		if (second) {
 			return unwrap(second);
 		}
@@ -126,18 +141,46 @@
 	}
 
 	ownerOf(service: string, requestId: string): PeerAddress | undefined {
+		const reserved = parseReservedId(requestId);
+		if (reserved) {
+			return this.minterOf(reserved);
+		}
+
 		const table = this.directory.known(service);
 		return table && this.ownerIn(table, requestId);
 	}
 
+	async findOwner(service: string, requestId: string): Promise<PeerAddress | undefined> {
+		const owner = this.ownerOf(service, requestId);
+		if (!owner && !parseReservedId(requestId)) {
+			await this.directory.refresh(service);
+		}
+
+		return owner ?? this.ownerOf(service, requestId);
+	}
+
 	isOwner(service: string, requestId: string): boolean {
-		const table = this.directory.known(service);
-		const held = table && this.holdings.get(service, shardIndex(service, requestId, table.shards.length));
+		const held = this.heldShardOf(service, requestId);
 		return held !== undefined && held.mayAct() && !held.mayHaveRun(requestId);
 	}
 
-	reserve(): readonly string[] {
-		return [];
+	drawRetry({rootId, rootService, rootOwner, caller}: CallContext, isAttempt: boolean): boolean {
+		const held = rootOwner ? this.mintedShardOf(rootOwner) : this.heldShardOf(rootService ?? '', rootId);
+		if (!held?.mayAct()) {
+			return false;
+		}
+
+		if (held.mayHaveRun(rootId)) {
+			return false;
+		}
+
+		const total = this.policy.current.callers.find(({name}) => name === caller)?.retryTotal ?? 0;
+		const {counts} = this.owner;
+		return isAttempt ? counts.enter(held.key, rootId, total) : counts.draw(held.key, rootId, total);
+	}
+
+	reserve(count: number): readonly string[] {
+		return Array.from({length: count}, () => this.reservedIds.mint());
 	}
 
 	async handOver(signal: AbortSignal): Promise<void> {
@@ -149,8 +192,8 @@
 			await pause(leavePauseMs);
 		}
 
-		await this.owner.whenIdle();
-		await this.handOvers.whenTold();
+		await settledOrAborted(this.owner.whenIdle(), signal);
+		await settledOrAborted(this.handOvers.whenTold(), signal);
 	}
 
 	dispose(): void {
@@ -162,10 +205,14 @@
 		return !this.arrivals.isEmpty || this.directory.all.some(({service}) => this.holdings.indexes(service).length > 0);
 	}
 
-	private async handAllOver(signal: AbortSignal): Promise<void> {
+	private successors(service: string): readonly Member[] {
 		const {nodeId} = this.membership.self;
+		return this.membership.upstreams(service).filter(member => member.nodeId !== nodeId);
+	}
+
+	private async handAllOver(signal: AbortSignal): Promise<void> {
 		for (const {service, shards} of this.directory.all) {
-			const successors = this.membership.upstreams(service).filter(member => member.nodeId !== nodeId);
+			const successors = this.successors(service);
 			const own = this.holdings.indexes(service);
 			if (successors.length > 0 && own.length > 0) {
 				const chosen = reassignShards(shards.map((shard, index) => own.includes(index) ? undefined : shard), successors);
@@ -234,20 +281,50 @@
 		}
 	}
 
-	/** Asks the owner that a table names; undefined when it certainly started nothing and is not the owner or not there. */
-	private async tryOwner(request: CallRequest, table: ShardTable | undefined, signal: AbortSignal, forwarded?: true): Promise<OwnReply | undefined> {
-		const owner = table && this.ownerIn(table, request.requestId);
-		if (!owner) {
-			return undefined;
+	/** The shard of an id if this node holds it, or the one of its reserved ids. */
+	private heldShardOf(service: string, requestId: string): HeldShard | undefined {
+		const reserved = parseReservedId(requestId);
+		if (reserved) {
+			return this.reservedIds.isGenuine(reserved) ? reservedShard : undefined;
 		}
 
+		const table = this.directory.known(service);
+		return table && this.holdings.get(service, shardIndex(service, requestId, table.shards.length));
+	}
+
+	private mintedShardOf({nodeId, incarnation}: {readonly nodeId: string; readonly incarnation: string}): HeldShard | undefined {
+		const {self} = this.peers;
+		return nodeId === self.nodeId && incarnation === self.incarnation ? mintedShard : undefined;
+	}
+
+	private minterOf({incarnation}: ReservedId): PeerAddress | undefined {
+		return this.membership.members.find(member => member.incarnation === incarnation);
+	}
+
+	private async runReserved(request: CallRequest, reserved: ReservedId, signal: AbortSignal): Promise<CallAnswer> {
+		const minter = this.minterOf(reserved);
+		const reply = minter && await this.tryOwner(request, minter, {modRevision: 0}, signal);
+		if (reply) {
+			return unwrap(reply);
+		}
+
+		throw ownerUnreachable('the node that reserved the id can not be reached');
+	}
+
+	private async askOwner(request: CallRequest, table: ShardTable, signal: AbortSignal, forwarded?: true): Promise<OwnReply | undefined> {
+		const owner = this.ownerIn(table, request.requestId);
+		return owner && this.tryOwner(request, owner, {modRevision: table.modRevision, forwarded}, signal);
+	}
+
+	/** Asks the owner that a table names; undefined when it certainly started nothing and is not the owner or not there. */
+	private async tryOwner(request: CallRequest, owner: PeerAddress, route: Omit<OwnParams, 'request'>, signal: AbortSignal): Promise<OwnReply | undefined> {
 		const timeoutMs = request.context.deadlineAtMs - Date.now();
 		if (timeoutMs <= 0) {
 			throw new KumquatlineError(ErrorKind.DeadlineExceeded, 'the deadline passed before the owner was asked', {execution: Execution.Unknown, started: false});
 		}
 
 		try {
-			const reply = await this.peers.call(owner, ownMethod, {request, modRevision: table.modRevision, forwarded}, {timeoutMs, signal});
+			const reply = await this.peers.call(owner, ownMethod, {request, ...route}, {timeoutMs, signal});
 			return reply.notOwner ? undefined : reply;
 		} catch (error) {
 			if (error instanceof KumquatlineError && neverSentKinds.has(error.kind)) {
@@ -266,6 +343,11 @@
 	/** Decides about a call as its owner, once a hand-over in progress has ended. */
 	private async own({request, modRevision, forwarded}: OwnParams, signal: AbortSignal): Promise<OwnReply> {
 		const {service, requestId} = request;
+		const reserved = parseReservedId(requestId);
+		if (reserved) {
+			return this.reservedIds.isGenuine(reserved) ? this.owner.own(reservedShard, request, signal) : forgedReply;
+		}
+
 		const known = this.directory.known(service);
 		const table = known && known.modRevision >= modRevision ? known : await this.directory.refresh(service);
 		if (!table) {
@@ -298,7 +380,7 @@
 		}
 
 		try {
-			return await this.tryOwner(request, table, signal, true) ?? {notOwner: true};
+			return await this.askOwner(request, table, signal, true) ?? {notOwner: true};
 		} catch (error) {
 			return {failure: toWireError(error)};
 		}
@@ -320,6 +402,25 @@
 	signal.removeEventListener('abort', listener);
 }
 
+/** The ids that this run of the node reserved or minted: they are its own as long as it runs. */
+const reservedShard = ownShard('reserved');
+const mintedShard = ownShard('minted');
+
+const forgedReply: OwnReply = {
+	failure: {
+		kind: ErrorKind.KeyInvalid, message: 'the id was not reserved here', execution: Execution.NotRun, started: false,
+	},
+};
+
+function ownShard(key: string): HeldShard {
+	return {
+		key,
+		leaving: undefined,
+		mayAct: () => true,
+		mayHaveRun: () => false,
+	};
+}
+
 const neverSentKinds: ReadonlySet<ErrorKind> = new Set([ErrorKind.PeerUnreachable, ErrorKind.PeerChanged]);
 
 function unwrap({answer, failure}: OwnReply): CallAnswer {
--- a/src/services/ownership/test/mesh/mesh-node.ts
+++ b/src/services/ownership/test/mesh/mesh-node.ts
@@ -114,6 +114,7 @@
 		await this.get(PeerService).listen();
 		await this.membership.start(signal);
 		await this.get(OwnershipService).start(signal);
+		this.get(RetryService);
 	}
 
 	kill(): void {
--- a/src/services/retries/granted-retry-service.ts
+++ b/src/services/retries/granted-retry-service.ts
@@ -1,22 +1,84 @@
+import {type Disposable} from '../../base/disposable.js';
+import {KumquatlineError} from '../../base/kumquatline-error.js';
+import {type PeerAddress} from '../../platform/peer/peer-address.js';
+import {PeerService} from '../../platform/peer/peer-service.js';
 import {type CallContext} from '../calls/call-context.js';
+import {MembershipService} from '../membership/membership-service.js';
+import {findRun} from '../ownership/find-run.js';
+import {OwnershipService} from '../ownership/ownership-service.js';
 import {PolicyService} from '../policy/policy-service.js';
+import {grantMethod} from './grant-method.js';
 import {type RetryService} from './retry-service.js';
+import {RetryShare} from './retry-share.js';
 
-/** Retries under a fixed total for each root id. */
-export class GrantedRetryService implements RetryService {
-	private freshCalls = 0;
+const longestWaitMs = 1000;
 
-	constructor(@PolicyService private readonly policy: PolicyService) {}
+/**
+Retries under a fixed total for each root id, counted by the id's owner, and under a share of this node's fresh calls.
+Where the owner can't be asked or can't decide, nothing is granted.
+*/
+export class GrantedRetryService implements RetryService, Disposable {
+	private readonly share = new RetryShare();
+	private readonly handler: Disposable;
+
+	constructor(
+		@PolicyService private readonly policy: PolicyService,
+		@OwnershipService private readonly ownership: OwnershipService,
+		@MembershipService private readonly membership: MembershipService,
+		@PeerService private readonly peers: PeerService,
+	) {
+		this.handler = peers.handle(grantMethod, async ({context, isAttempt}) => ({isGranted: ownership.drawRetry(context, isAttempt)}));
+	}
 
 	noteFresh(): void {
-		this.freshCalls++;
+		this.share.earn(this.policy.current.retryShare);
 	}
 
-	async grant(_context: CallContext, _signal: AbortSignal): Promise<boolean> {
-		return this.policy.current.retryShare > this.freshCalls;
+	async grant(context: CallContext, signal: AbortSignal): Promise<boolean> {
+		if (!this.share.take()) {
+			return false;
+		}
+
+		const isGranted = await this.ask(context, false, signal);
+		if (!isGranted) {
+			this.share.giveBack();
+		}
+
+		return isGranted;
 	}
 
-	async admitAttempt(_context: CallContext, _signal: AbortSignal): Promise<boolean> {
-		return true;
+	async admitAttempt(context: CallContext, signal: AbortSignal): Promise<boolean> {
+		return this.ask(context, true, signal);
+	}
+
+	dispose(): void {
+		this.handler.dispose();
+	}
+
+	private async ask(context: CallContext, isAttempt: boolean, signal: AbortSignal): Promise<boolean> {
+		const owner = await this.ownerOf(context);
+		const timeoutMs = Math.min(longestWaitMs, context.deadlineAtMs - Date.now());
+		if (!owner || timeoutMs <= 0) {
+			return false;
+		}
+
+		try {
+			const {isGranted} = await this.peers.call(owner, grantMethod, {context, isAttempt}, {timeoutMs, signal});
+			return isGranted;
+		} catch (error) {
+			if (error instanceof KumquatlineError) {
+				return false;
+			}
+
+			throw error;
+		}
+	}
+
+	private async ownerOf({rootId, rootService, rootOwner}: CallContext): Promise<PeerAddress | undefined> {
+		if (rootOwner) {
+			return findRun(this.membership, rootOwner);
+		}
+
+		return rootService === undefined ? undefined : this.ownership.findOwner(rootService, rootId);
 	}
 }
--- /dev/null
+++ b/src/services/retries/test/granted-retry-service.test.ts
@@ -0,0 +1,121 @@
+import test from 'ava';
+import {v7} from 'uuid';
+import {MemberState} from '../../membership/member-state.js';
+import {makeRequest} from '../../ownership/test/mesh/make-request.js';
+import {MeshBench} from '../../ownership/test/mesh/mesh-bench.js';
+import {type MeshNode} from '../../ownership/test/mesh/mesh-node.js';
+import {OwnershipService} from '../../ownership/ownership-service.js';
+import {RetryService} from '../retry-service.js';
+
+const {signal} = new AbortController();
+
+/** Total of the caller `clerk` in the mesh's policy. */
+const total = 3;
+
+function contextOf(rootId: string) {
+	return makeRequest(rootId).context;
+}
+
+async function grant(bench: MeshBench, node: MeshNode, rootId: string): Promise<boolean> {
+	return bench.settle(node.get(RetryService).grant(contextOf(rootId), signal));
+}
+
+async function admit(bench: MeshBench, node: MeshNode, rootId: string): Promise<boolean> {
+	return bench.settle(node.get(RetryService).admitAttempt(contextOf(rootId), signal));
+}
+
+test.serial('the retries of one root id stay within the total, whichever nodes ask', async t => {
+	await MeshBench.with(3, async bench => {
+		const asked = Array.from({length: 9}, async (_, index) => bench.mesh.nodes[index % 3].get(RetryService).grant(contextOf('order-1'), signal));
+		const granted = await bench.settle(Promise.all(asked));
+		t.is(granted.filter(Boolean).length, total);
+		t.true(await grant(bench, bench.mesh.nodes[0], 'order-2'));
+	});
+});
+
+test.serial('the first attempt of an id is free, repeats at other nodes draw on the total', async t => {
+	await MeshBench.with(3, async bench => {
+		const admitted: boolean[] = [];
+		for (let attempt = 0; attempt < total + 2; attempt++) {
+			admitted.push(await admit(bench, bench.mesh.nodes[attempt % 3], 'order-1'));
+		}
+
+		t.deepEqual(admitted, [true, true, true, true, false]);
+		t.false(await grant(bench, bench.mesh.nodes[0], 'order-1'));
+	});
+});
+
+test.serial('what has been drawn goes with a hand-over', async t => {
+	await MeshBench.with(2, async bench => {
+		const owner = bench.ownerOf('order-1');
+		for (let draws = 0; draws < total; draws++) {
+			t.true(await grant(bench, owner, 'order-1'));
+		}
+
+		owner.membership.drain();
+		bench.mesh.tell(owner, MemberState.Draining);
+		await bench.settle(owner.get(OwnershipService).handOver(signal));
+		t.false(await grant(bench, bench.otherThan(owner), 'order-1'));
+		t.true(await grant(bench, bench.otherThan(owner), 'order-2'));
+	});
+});
+
+test.serial('a takeover that lost the count ends the retries of older ids, later ids have theirs', async t => {
+	await MeshBench.with(2, async bench => {
+		const older = v7({msecs: Date.now()});
+		const owner = bench.ownerOf(older);
+		const other = bench.otherThan(owner);
+		await bench.settle(bench.mesh.kill(owner));
+		await bench.pass(5000);
+		t.false(await grant(bench, other, older));
+		t.false(await admit(bench, other, 'order-1') && await admit(bench, other, 'order-4') && await admit(bench, other, 'order-5'));
+		t.true(await grant(bench, other, v7({msecs: Date.now()})));
+	});
+});
+
+test.serial('without a lease or without its owner no retry is granted', async t => {
+	await MeshBench.with(2, async bench => {
+		const owner = bench.ownerOf('order-1');
+		const other = bench.otherThan(owner);
+		bench.mesh.parts.conditions.cut(owner.nodeId, other.nodeId);
+		t.false(await grant(bench, other, 'order-1'));
+		t.true(await grant(bench, owner, 'order-1'));
+		bench.mesh.parts.store.isDown = true;
+		await bench.pass(5000);
+		t.false(await grant(bench, owner, 'order-1'));
+	});
+});
+
+test.serial('a root id that a node minted is counted there, without shards or store', async t => {
+	await MeshBench.with(2, async bench => {
+		bench.mesh.parts.store.isDown = true;
+		await bench.pass(5000);
+		const [minter, other] = bench.mesh.nodes;
+		const {nodeId, incarnation} = minter.process;
+		const context = {
+			...contextOf('minted'), rootService: undefined, rootOwner: {nodeId, incarnation}, deadlineAtMs: Date.now() + 60_000,
+		};
+		const asked = Array.from({length: 5}, async () => other.get(RetryService).grant(context, signal));
+		const granted = await bench.settle(Promise.all(asked));
+		t.is(granted.filter(Boolean).length, total);
+	});
+});
+
+test.serial('a node\'s retries stay under their share of its fresh calls', async t => {
+	await MeshBench.with(2, async bench => {
+		const retries = bench.mesh.nodes[0].get(RetryService);
+		const ask = async (count: number) => {
+			const asked = Array.from({length: count}, async () => retries.grant(contextOf(v7({msecs: Date.now()})), signal));
+			const granted = await bench.settle(Promise.all(asked));
+			return granted.filter(Boolean).length;
+		};
+
+		t.is(await ask(30), 10);
+		t.is(await ask(30), 0);
+		for (let call = 0; call < 5; call++) {
+			retries.noteFresh();
+		}
+
+		t.is(await ask(30), 5);
+	});
+});
