Keep the base of the learned limit free of contention

Cause: a base that followed the least of noisy windows made trials in steady load, and one that followed all of them crept up until a backend server with 4 of 16 announced slots kept 16 (the test failed so). Change: it follows windows at limits known to be free of contention, and only those. The standing delay that raises the threshold is one own time instead of half, trials take a smaller step, a new backend server begins with two at least. Trials under a paused clock with random service times: at 0.7 of capacity no trial in 20 s (before: 2 of 3 upstreams had one).

--- a/src/services/admission/delay-threshold-service.ts
+++ b/src/services/admission/delay-threshold-service.ts
@@ -6,7 +6,7 @@
 const shortestIntervalMs = 100;
 const lowestTargetMs = 20;
 /** Standing delay that keeps a backend server busy, in relation to its own time. */
-const targetShareOfOwnTime = 0.5;
+const targetShareOfOwnTime = 1;
 /** Rise in an interval for a delay that is above the target by the target itself. */
 const gain = 0.1;
 const largestRise = 0.4;
--- a/src/services/admission/learned-limit-service.ts
+++ b/src/services/admission/learned-limit-service.ts
@@ -9,6 +9,7 @@
 
 /** Part of the announced slots that a new backend server begins with. */
 const firstShare = 0.25;
+const fewestAtFirst = 2;
 const growth = 1.5;
 const shortestWindowMs = 250;
 const fewestExecutions = 8;
@@ -16,6 +17,10 @@
 const executionsPerLimit = 2;
 /** Own time above the base by this factor is suspect of contention. */
 const suspectFactor = 1.5;
+/** Weight of one more window in the base. */
+const baseWeight = 0.2;
+/** Own time above the base by no more than this factor shows no contention. */
+const uncontendedFactor = 1.15;
 /** Limit of a trial in relation to the one before. */
 const trialShare = 0.7;
 /** Own time in a trial, in relation to that before, below which there was contention. */
@@ -39,7 +44,9 @@
 	private current = 0;
 	private ceiling = 0;
 	private port = 0;
+	/** Own time without contention, as known at limits up to `baseLimit`. */
 	private baseMs = 0;
+	private baseLimit = 0;
 	private window = new ExecutionWindow();
 	private trial: Trial | undefined;
 	/** Whether the limit was found too high before, so that it grows by one at a time. */
@@ -61,8 +68,9 @@
 		}
 
 		this.port = port;
-		this.current = Math.ceil(this.ceiling * firstShare);
+		this.current = Math.min(this.ceiling, Math.max(fewestAtFirst, Math.ceil(this.ceiling * firstShare)));
 		this.baseMs = 0;
+		this.baseLimit = 0;
 		this.isCautious = false;
 		this.trial = undefined;
 		this.window = new ExecutionWindow();
@@ -104,19 +112,30 @@
 			return;
 		}
 
-		this.baseMs = this.baseMs === 0 ? meanOwnTimeMs : Math.min(this.baseMs, meanOwnTimeMs);
+		this.baseMs ||= meanOwnTimeMs;
 		if (meanOwnTimeMs > this.baseMs * suspectFactor && this.current > 1) {
 			this.trial = {limitBefore: this.current, ownTimeBeforeMs: meanOwnTimeMs};
-			this.current = Math.floor(this.current * trialShare);
+			this.current = Math.min(this.current - 1, Math.round(this.current * trialShare));
 			this.settledAtMs = performance.now();
 			return;
 		}
 
+		this.updateBase(meanOwnTimeMs);
 		if (window.wasFull && performance.now() >= this.heldUntilMs) {
 			this.grow();
 		}
 	}
 
+	/** Follows the own time at limits that are known to be free of contention, or at a higher one that shows none. */
+	private updateBase(ownTimeMs: number): void {
+		if (this.current > this.baseLimit && ownTimeMs > this.baseMs * uncontendedFactor) {
+			return;
+		}
+
+		this.baseMs += baseWeight * (ownTimeMs - this.baseMs);
+		this.baseLimit = Math.max(this.baseLimit, this.current);
+	}
+
 	private endTrial({limitBefore, ownTimeBeforeMs}: Trial, ownTimeMs: number): void {
 		this.trial = undefined;
 		if (ownTimeMs < ownTimeBeforeMs * contentionShare) {
@@ -125,6 +144,7 @@
 		}
 
 		this.baseMs = ownTimeMs;
+		this.baseLimit = limitBefore;
 		this.current = Math.min(limitBefore, this.ceiling);
 	}
 
