--- /dev/null
+++ b/bench/store-calls/quiet-node.ts
@@ -0,0 +1,58 @@
+import {type Disposable} from '../../src/base/disposable.js';
+import {type Kernel} from '../../src/platform/kernel/kernel.js';
+import {LogService} from '../../src/platform/log/log-service.js';
+import {PeerService} from '../../src/platform/peer/peer-service.js';
+import {type NodeSettings} from '../../src/platform/settings/node-settings.js';
+import {createKernel} from '../../src/programs/node/create-kernel.js';
+import {MembershipService} from '../../src/services/membership/membership-service.js';
+import {PolicyService} from '../../src/services/policy/policy-service.js';
+
+const ignore = (): void => undefined;
+/** Nobody calls it: these nodes serve no callers. */
+const callerPort = 1;
+
+/** The control side of a node: store client, peers, membership and policy, as the node program composes them. */
+export class QuietNode implements Disposable {
+	readonly policy: PolicyService;
+	private readonly kernel: Kernel;
+
+	constructor(nodeId: string, availabilityZone: string, storeUrl: string, seed: number) {
+		const settings: NodeSettings = {
+			nodeId,
+			availabilityZone,
+			address: '127.0.0.1',
+			region: 'default',
+			callerPort: 0,
+			backendPort: 0,
+			peerPort: 0,
+			gossipPort: 0,
+			storeUrls: [storeUrl],
+			seedAddresses: [],
+			leaseTtlMs: 10_000,
+			leaseMarginMs: 1000,
+			clockSkewBoundMs: 250,
+			shutdownTimeoutMs: 1000,
+			probeAfterMs: 300,
+			abandonAfterMs: 500,
+			gossipIntervalMs: 500,
+			logLevel: 'error',
+			statsdAddress: '',
+			seed,
+		};
+		this.kernel = createKernel(settings).registerInstance(LogService, {
+			debug: ignore, info: ignore, warn: ignore, error: ignore,
+		});
+		this.policy = this.kernel.get(PolicyService);
+	}
+
+	async start(): Promise<void> {
+		const {signal} = new AbortController();
+		await this.kernel.get(PeerService).listen();
+		await this.kernel.get(MembershipService).start(signal, callerPort);
+		await this.policy.start(signal);
+	}
+
+	dispose(): void {
+		this.kernel.dispose();
+	}
+}
