--- a/bench/overload/simpler-forms.ts
+++ b/bench/overload/simpler-forms.ts
@@ -3,6 +3,7 @@
 import {LimitService} from '../../src/services/admission/limit-service.js';
 import {OpenThresholdService} from '../../src/services/admission/open-threshold-service.js';
 import {ThresholdService} from '../../src/services/admission/threshold-service.js';
+import {type Member} from '../../src/services/membership/member.js';
 import {PolicyRoutingService} from '../../src/services/routing/policy-routing-service.js';
 import {RoutingService} from '../../src/services/routing/routing-service.js';
 
@@ -12,6 +13,14 @@
 	}
 }
 
+class TurnRoutingService extends PolicyRoutingService {
+	private turn = 0;
+
+	protected override pick(candidates: readonly Member[]): Member | undefined {
+		return candidates[this.turn++ % candidates.length];
+	}
+}
+
 /** Decisions that the bench can replace by a simpler form, by name. */
 export const simplerForms: ReadonlyMap<string, (kernel: Kernel) => void> = new Map([
 	['learned-limit', kernel => {
@@ -20,6 +29,9 @@
 	['threshold', kernel => {
 		kernel.register(ThresholdService, OpenThresholdService);
 	}],
+	['two-choices', kernel => {
+		kernel.register(RoutingService, TurnRoutingService);
+	}],
 	['early-refusal', kernel => {
 		kernel.register(RoutingService, LateRefusalRoutingService);
 	}],
--- /dev/null
+++ b/bench/overload/test/measure-recovery.test.ts
@@ -0,0 +1,28 @@
+import test from 'ava';
+import {RequestOutcome} from '../../../standins/caller/request-outcome.js';
+import {measureRecovery} from '../measure-recovery.js';
+
+const fromMs = 10_000;
+
+/** Ten requests in each half second, of which so many are answered whole. */
+function makeRequests(wholeCounts: readonly number[]) {
+	return wholeCounts.flatMap((wholeCount, stretch) => Array.from({length: 10}, (_value, index) => ({
+		requestId: '',
+		operation: 'stock',
+		sentAtMs: fromMs + (stretch * 500) + (index * 50),
+		endedAtMs: 0,
+		attempts: 1,
+		outcome: index < wholeCount ? RequestOutcome.Whole : RequestOutcome.Refused,
+	})));
+}
+
+function recoveryMs(wholeCounts: readonly number[]): number | undefined {
+	return measureRecovery(makeRequests(wholeCounts), fromMs, fromMs + (wholeCounts.length * 500)).recoveryMs;
+}
+
+test('recovery is when goodput is back for good', t => {
+	t.is(recoveryMs([10, 10, 10]), 0);
+	t.is(recoveryMs([2, 9, 10, 10]), 1000);
+	t.is(recoveryMs([2, 10, 9, 10]), 1500);
+	t.is(recoveryMs([2, 10, 10, 9]), undefined);
+});
--- a/src/services/routing/policy-routing-service.ts
+++ b/src/services/routing/policy-routing-service.ts
@@ -79,7 +79,7 @@
 	choose(service: string, exclude: ReadonlySet<string>): Member | undefined {
 		const candidates = this.membership.upstreams(service).filter(member => !exclude.has(member.nodeId));
 		const near = candidates.filter(member => member.availabilityZone === this.settingsService.settings.availabilityZone);
-		const member = this.chooseOfTwo(near.some(member => this.utilisation(member) < 1) ? near : candidates);
+		const member = this.pick(near.some(member => this.utilisation(member) < 1) ? near : candidates);
 		if (member) {
 			const record = this.recordOf(member.nodeId);
 			record.inFlight++;
@@ -100,6 +100,17 @@
 		}
 	}
 
+	/** The less loaded of two candidates drawn by limit (the power of two choices). */
+	protected pick(candidates: readonly Member[]): Member | undefined {
+		const first = this.drawByLimit(candidates);
+		const second = this.drawByLimit(candidates);
+		if (!first || !second) {
+			return first;
+		}
+
+		return this.utilisation(second) < this.utilisation(first) ? second : first;
+	}
+
 	/** A service's threshold is the mean of its upstreams', weighted by their limits. */
 	private hearThresholds({service}: Member, {heard = []}: UpstreamLoad): void {
 		for (const threshold of heard) {
@@ -135,16 +146,6 @@
 		return this.router;
 	}
 
-	private chooseOfTwo(candidates: readonly Member[]): Member | undefined {
-		const first = this.drawByLimit(candidates);
-		const second = this.drawByLimit(candidates);
-		if (!first || !second) {
-			return first;
-		}
-
-		return this.utilisation(second) < this.utilisation(first) ? second : first;
-	}
-
 	/** Draws a candidate with a chance in proportion to its limit. */
 	private drawByLimit(candidates: readonly Member[]): Member | undefined {
 		let total = 0;
