Drop queued work that nobody waits for; take shards only under a held lease

Cause: the owner could cancel nothing that it had sent without losing what became of it, so queued charges of callers that had left still ran; and a run that was not registered yet accepted shards that it could not act for. Change: a call to drop work by its call id, which an upstream's node follows only while the work waits; the execution goes on to its reply, so the owner records not-run or the answer. The owner waits 250 ms beyond the deadline for an upstream's word whether the call had begun. The mesh's registrations are no longer replaced while an earlier run's lease lasts, as in membership. Tests of ownership, retries and calls pass.

--- a/prove/ownership/mesh-run.ts
+++ b/prove/ownership/mesh-run.ts
@@ -211,9 +211,20 @@
 		await node.get(OwnershipService).handOver(new AbortController().signal);
 		// A node ends only when the calls that it sends on are over.
 		await this.mesh.parts.conditions.pause(closingMs);
+		await this.endRegistration(node);
 		await this.mesh.kill(node);
 	}
 
+	private async endRegistration(node: MeshNode): Promise<void> {
+		try {
+			await node.membership.leave(new AbortController().signal);
+		} catch (error) {
+			if (!(error instanceof KumquatlineError)) {
+				throw error;
+			}
+		}
+	}
+
 	private async replace(node: MeshNode, afterMs: number): Promise<void> {
 		await this.mesh.parts.conditions.pause(afterMs);
 		const isStillThere = this.mesh.nodes.includes(node);
--- a/src/services/calls/call-executor.ts
+++ b/src/services/calls/call-executor.ts
@@ -1,9 +1,10 @@
 import {type Disposable} from '../../base/disposable.js';
+import {DisposableStore} from '../../base/disposable-store.js';
 import {ErrorKind} from '../../base/error-kind.js';
 import {KumquatlineError} from '../../base/kumquatline-error.js';
 import {toWireError} from '../../base/to-wire-error.js';
 import {MetricsService} from '../../platform/metrics/metrics-service.js';
-import {PeerService} from '../../platform/peer/peer-service.js';
+import {type PeerCall, PeerService} from '../../platform/peer/peer-service.js';
 import {AdmissionService} from '../admission/admission-service.js';
 import {type UpstreamLoad} from '../admission/upstream-load.js';
 import {BackendService} from '../backend/backend-service.js';
@@ -12,12 +13,15 @@
 import {RoutingService} from '../routing/routing-service.js';
 import {type CallAnswer} from './call-answer.js';
 import {type CallRequest} from './call-request.js';
+import {dropMethod} from './drop-method.js';
 import {executeMethod} from './execute-method.js';
 import {type ExecutionReply} from './execution-reply.js';
 
 /** Runs the calls that peers send for the VM's own backend server, as admission lets them through. */
 export class CallExecutor implements Disposable {
-	private readonly handler: Disposable;
+	private readonly handlers = new DisposableStore();
+	/** Calls that wait to begin and may be dropped, by call id. */
+	private readonly waiting = new Map<string, AbortController>();
 
 	constructor(
 		@PeerService peers: PeerService,
@@ -27,16 +31,20 @@
 		@RoutingService private readonly routing: RoutingService,
 		@MetricsService private readonly metrics: MetricsService,
 	) {
-		this.handler = peers.handle(executeMethod, async (request, call) => this.reply(request, call.signal));
+		this.handlers.add(peers.handle(executeMethod, async (request, call) => this.reply(request, call)));
+		this.handlers.add(peers.handle(dropMethod, async ({callId}) => {
+			this.waiting.get(callId)?.abort();
+			return {};
+		}));
 	}
 
 	dispose(): void {
-		this.handler.dispose();
+		this.handlers.dispose();
 	}
 
-	private async reply(request: CallRequest, signal: AbortSignal): Promise<ExecutionReply> {
+	private async reply(request: CallRequest, call: PeerCall): Promise<ExecutionReply> {
 		try {
-			const answer = await this.execute(request, signal);
+			const answer = await this.execute(request, call);
 			return {answer, load: this.load()};
 		} catch (error) {
 			const failure = toWireError(error);
@@ -52,7 +60,7 @@
 		return {...this.admission.load, heard: this.routing.heard};
 	}
 
-	private async execute(request: CallRequest, signal: AbortSignal): Promise<CallAnswer> {
+	private async execute(request: CallRequest, call: PeerCall): Promise<CallAnswer> {
 		const {announcement} = this.backend;
 		if (announcement?.service !== request.service) {
 			throw new KumquatlineError(ErrorKind.BackendUnreachable, `no backend server of ${request.service} here`, {started: false});
@@ -62,14 +70,32 @@
 			throw new KumquatlineError(ErrorKind.Draining, 'the backend server is leaving', {started: false});
 		}
 
+		if (request.idempotent) {
+			return this.admit(request, call.signal, call.signal);
+		}
+
+		const waiting = new AbortController();
+		this.waiting.set(call.callId, waiting);
+		try {
+			return await this.admit(request, AbortSignal.any([call.signal, waiting.signal]), call.signal, () => {
+				this.waiting.delete(call.callId);
+			});
+		} finally {
+			this.waiting.delete(call.callId);
+		}
+	}
+
+	/** Waits for room until `waitSignal` is aborted, then runs the call until `workSignal` is. */
+	private async admit(request: CallRequest, waitSignal: AbortSignal, workSignal: AbortSignal, onBegin?: () => void): Promise<CallAnswer> {
 		const queuedAtMs = performance.now();
-		return this.admission.run(request.context, async (ownTime, workSignal) => {
+		return this.admission.run(request.context, async ownTime => {
+			onBegin?.();
 			this.metrics.record('queue_wait', performance.now() - queuedAtMs, {caller: request.context.caller, operation: request.operation});
 			if (Date.now() >= request.context.deadlineAtMs) {
 				throw new KumquatlineError(ErrorKind.DeadlineExceeded, 'the deadline passed in the queue', {started: false});
 			}
 
 			return this.backend.invoke(request, ownTime, workSignal);
-		}, signal);
+		}, waitSignal);
 	}
 }
--- /dev/null
+++ b/src/services/calls/drop-method.ts
@@ -0,0 +1,9 @@
+import {PeerMethod} from '../../platform/peer/peer-method.js';
+
+type DropParams = {
+	/** Id of the call to be executed. */
+	readonly callId: string;
+};
+
+/** Drops a call that still waits to begin at the receiving node, because nobody waits for its answer; what has begun goes on. */
+export const dropMethod = new PeerMethod<DropParams, Record<string, never>>('drop');
--- a/src/services/calls/routed-upstream-service.ts
+++ b/src/services/calls/routed-upstream-service.ts
@@ -8,12 +8,18 @@
 import {RoutingService} from '../routing/routing-service.js';
 import {type CallAnswer} from './call-answer.js';
 import {type CallRequest} from './call-request.js';
+import {dropMethod} from './drop-method.js';
 import {executeMethod} from './execute-method.js';
+import {type ExecutionReply} from './execution-reply.js';
 import {type UpstreamCall, type UpstreamService} from './upstream-service.js';
 
 /** Upstreams tried for one execution while each certainly did not start it. */
 const maxUpstreamsTried = 4;
 
+/** Time after a deadline in which an upstream may still tell that a call had not begun by then. */
+const verdictMs = 250;
+const dropTimeoutMs = 1000;
+
 /** Failures of an upstream that say nothing about the others: another one is tried at once. */
 const reroutedKinds: ReadonlySet<ErrorKind> = new Set([
 	ErrorKind.PeerUnreachable,
@@ -65,7 +71,7 @@
 			}
 
 			call.onWillSend?.(member.nodeId);
-			const reply = await this.peers.call(member, executeMethod, request, {callId: call.callId, timeoutMs, signal});
+			const reply = await this.send(member, request, call, timeoutMs, signal);
 			load = reply.load;
 			if (reply.answer) {
 				return reply.answer;
@@ -76,6 +82,31 @@
 			this.routing.noteReply(member, load);
 		}
 	}
+
+	/** A call that may run only once is waited for a little longer, since its upstream says whether it had begun by the deadline. */
+	private async send(member: Member, request: CallRequest, {callId, unwanted}: UpstreamCall, remainingMs: number, signal: AbortSignal): Promise<ExecutionReply> {
+		const drop = () => {
+			void this.drop(member, callId);
+		};
+
+		unwanted?.addEventListener('abort', drop);
+		try {
+			const timeoutMs = request.idempotent ? remainingMs : remainingMs + verdictMs;
+			return await this.peers.call(member, executeMethod, request, {callId, timeoutMs, signal});
+		} finally {
+			unwanted?.removeEventListener('abort', drop);
+		}
+	}
+
+	private async drop(member: Member, callId: string): Promise<void> {
+		try {
+			await this.peers.call(member, dropMethod, {callId}, {timeoutMs: dropTimeoutMs});
+		} catch (error) {
+			if (!(error instanceof KumquatlineError)) {
+				throw error;
+			}
+		}
+	}
 }
 
 /** Says of a failure whether the execution may have begun. */
--- a/src/services/ownership/request-owner.ts
+++ b/src/services/ownership/request-owner.ts
@@ -31,6 +31,8 @@
 	readonly failure?: WireError;
 };
 
+/** Work that may have begun is not cut short: it runs on to its deadline. */
+const neverAborted = new AbortController().signal;
 /** Time that the end of an execution may take to be told after its deadline. */
 const endGraceMs = 1000;
 
@@ -169,19 +171,16 @@
 			return this.refuse(entry, objection);
 		}
 
-		const queued = new AbortController();
+		const unwanted = new AbortController();
 		const run = new CallRun(() => {
-			// What was sent may have started, and started work that is not idempotent is not cut short.
-			if (entry.state === EntryState.Accepted) {
-				queued.abort();
-			}
+			unwanted.abort();
 		});
 		entry.run = run;
 		entry.callId = randomUUID();
 		entry.runEndsAtMs = request.context.deadlineAtMs + this.settings.settings.clockSkewBoundMs + endGraceMs;
 		entry.state = EntryState.Accepted;
 		const reply = run.join(signal);
-		const execution = this.execute(shard, entry, request, queued.signal);
+		const execution = this.execute(shard, entry, request, unwanted.signal);
 		this.executions.add(execution);
 		void this.forgetExecution(execution);
 		return await reply ?? leftReply;
@@ -213,14 +212,16 @@
 		return minted !== undefined && minted < Date.now() - this.policy.current.retryHorizonMs;
 	}
 
-	private async execute(shard: HeldShard, entry: IdempotencyEntry, request: CallRequest, signal: AbortSignal): Promise<void> {
+	private async execute(shard: HeldShard, entry: IdempotencyEntry, request: CallRequest, unwanted: AbortSignal): Promise<void> {
 		const onWillSend = () => {
 			this.assertMaySend(shard, request);
 			entry.state = EntryState.Dispatched;
 		};
 
 		try {
-			const answer = await this.upstreams.execute(request, {callId: entry.callId!, exclude: new Set(), onWillSend}, signal);
+			const answer = await this.upstreams.execute(request, {
+				callId: entry.callId!, exclude: new Set(), onWillSend, unwanted,
+			}, neverAborted);
 			this.entries.complete(entry, answer);
 			this.end(entry, EntryState.Completed, {answer});
 		} catch (error) {
--- a/src/services/ownership/sharded-ownership-service.ts
+++ b/src/services/ownership/sharded-ownership-service.ts
@@ -201,6 +201,10 @@
 		this.disposables.dispose();
 	}
 
+	private get takesShards(): boolean {
+		return !this.isLeaving && this.lease.isHeld() && this.membership.self.state === MemberState.Serving;
+	}
+
 	private get hasShards(): boolean {
 		return !this.arrivals.isEmpty || this.directory.all.some(({service}) => this.holdings.indexes(service).length > 0);
 	}
@@ -224,7 +228,7 @@
 	private handlePeers(): void {
 		this.disposables.add(this.peers.handle(ownMethod, async (params, call) => this.own(params, call.signal)));
 		this.disposables.add(this.peers.handle(takeShardMethod, async params => ({
-			isTaken: !this.isLeaving && this.membership.self.state === MemberState.Serving && this.arrivals.add(params),
+			isTaken: this.takesShards && this.arrivals.add(params),
 		})));
 		this.disposables.add(this.peers.handle(resolveMethod, async params => {
 			this.resolve(params);
--- a/src/services/ownership/test/mesh/mesh-backends.ts
+++ b/src/services/ownership/test/mesh/mesh-backends.ts
@@ -24,13 +24,20 @@
 	shedShare = 0;
 	/** Share of calls that begin and then give no answer. */
 	failedShare = 0;
+	/** Time that work waits before it begins. */
+	queueMs = 0;
 	workMs = 20;
 
 	constructor(readonly conditions: MeshConditions) {}
 
 	/** Takes a call that a node has sent: it goes on whatever happens to the node. */
-	async take(request: CallRequest, sentBy: string): Promise<CallAnswer> {
+	async take(request: CallRequest, sentBy: string, unwanted?: AbortSignal): Promise<CallAnswer> {
 		await this.conditions.transit();
+		await this.conditions.pause(this.queueMs);
+		if (unwanted?.aborted) {
+			throw new KumquatlineError(ErrorKind.CallerGone, 'dropped', {started: false});
+		}
+
 		if (this.conditions.chance(this.shedShare)) {
 			throw new KumquatlineError(ErrorKind.BackendShed, 'shed', {started: false});
 		}
@@ -52,16 +59,12 @@
 export class MeshUpstreamService implements UpstreamService {
 	constructor(private readonly backends: MeshBackends, private readonly process: MeshProcess) {}
 
-	async execute(request: CallRequest, call: UpstreamCall, signal: AbortSignal): Promise<CallAnswer> {
+	async execute(request: CallRequest, call: UpstreamCall): Promise<CallAnswer> {
 		await this.backends.conditions.transit();
 		await this.process.running();
-		if (signal.aborted) {
-			throw new KumquatlineError(ErrorKind.CallerGone, 'left', {started: false});
-		}
-
 		call.onWillSend?.(this.process.nodeId);
 		try {
-			return await this.backends.take(request, this.process.nodeId);
+			return await this.backends.take(request, this.process.nodeId, call.unwanted);
 		} finally {
 			await this.process.running();
 		}
--- a/src/services/ownership/test/mesh/mesh-membership-service.ts
+++ b/src/services/ownership/test/mesh/mesh-membership-service.ts
@@ -46,7 +46,7 @@
 		this.lease.setRegistration({
 			key: prefix + self.nodeId,
 			value: self.incarnation,
-			mayReplace: () => true,
+			mayReplace: found => found === self.incarnation,
 		});
 		await this.lease.start(signal);
 	}
--- a/src/services/ownership/test/sharded-ownership-service.test.ts
+++ b/src/services/ownership/test/sharded-ownership-service.test.ts
@@ -148,3 +148,34 @@
 		t.is(bench.mesh.parts.backends.executions.length, 1);
 	});
 });
+
+test.serial('a caller that leaves drops work that has not begun, unless another has joined', async t => {
+	await MeshBench.with(2, async bench => {
+		bench.mesh.parts.backends.queueMs = 300;
+		const [one, other] = bench.mesh.nodes;
+		const leaving = new AbortController();
+		const alone = bench.attempt(one, makeRequest('order-1'), leaving);
+		const joined = bench.attempt(one, makeRequest('order-2'), leaving);
+		const staying = bench.attempt(other, makeRequest('order-2'));
+		await bench.pass(100);
+		leaving.abort();
+		t.deepEqual(await bench.settle(staying), {answer: 'done order-2'});
+		const left = await Promise.all([alone, joined]);
+		t.deepEqual(left.map(({execution}) => execution), [Execution.Unknown, Execution.Unknown]);
+		t.deepEqual(bench.mesh.parts.backends.executions.map(({requestId}) => requestId), ['order-2']);
+		t.deepEqual(await bench.attempted(other, makeRequest('order-1')), {answer: 'done order-1'});
+	});
+});
+
+test.serial('work that has begun goes on when its caller leaves, and its answer is kept', async t => {
+	await MeshBench.with(2, async bench => {
+		bench.mesh.parts.backends.workMs = 500;
+		const leaving = new AbortController();
+		const left = bench.attempt(bench.mesh.nodes[0], makeRequest('order-1'), leaving);
+		await bench.pass(100);
+		leaving.abort();
+		await bench.settle(left);
+		t.deepEqual(await bench.attempted(bench.mesh.nodes[1]), {answer: 'done order-1'});
+		t.is(bench.mesh.parts.backends.executions.length, 1);
+	});
+});
