Let operators restore the policy to a store that lost it

Cause: nodes rightly refuse to write on a store that was emptied, which left operators no way to change the policy again. Change: kumquatline policy restore writes the version in force at a node, unless a later one is seen; revisions that the store counts afresh are followed. The process runs' operators pass over a node that is being started.

--- a/prove/naive/any-event-policy-service.ts
+++ b/prove/naive/any-event-policy-service.ts
@@ -64,6 +64,10 @@
 		return this.write(policy, found?.modRevision ?? 0);
 	}
 
+	async restore(): Promise<PatchResult> {
+		return this.write(this.current, 0);
+	}
+
 	preview(): Policy {
 		return this.current;
 	}
--- a/prove/policy/policy-process-run.ts
+++ b/prove/policy/policy-process-run.ts
@@ -138,7 +138,13 @@
 	}
 
 	private chooseUrl(): string {
-		return this.graph.node(this.choices.pick(this.graph.plan.nodes).nodeId).url;
+		for (;;) {
+			try {
+				return this.graph.node(this.choices.pick(this.graph.plan.nodes).nodeId).url;
+			} catch {
+				// This one is being started; an operator would know another.
+			}
+		}
 	}
 
 	/** The version that some node tells; nodes that don't answer are passed over. */
--- a/src/programs/cli/policy-command.ts
+++ b/src/programs/cli/policy-command.ts
@@ -3,6 +3,7 @@
 import {policyHistoryCommand} from './policy-history-command.js';
 import {policyInitCommand} from './policy-init-command.js';
 import {policyPatchCommand} from './policy-patch-command.js';
+import {policyRestoreCommand} from './policy-restore-command.js';
 import {policyShowCommand} from './policy-show-command.js';
 import {policyValidateCommand} from './policy-validate-command.js';
 import {policyWaitCommand} from './policy-wait-command.js';
@@ -19,5 +20,6 @@
 		patch: policyPatchCommand,
 		history: policyHistoryCommand,
 		wait: policyWaitCommand,
+		restore: policyRestoreCommand,
 	},
 });
--- a/src/programs/cli/test/run-cli.test.ts
+++ b/src/programs/cli/test/run-cli.test.ts
@@ -55,7 +55,7 @@
 const replaceTimeout = [{op: 'replace', path: '/operations/0/timeoutMs', value: 3000}];
 
 test('every command has a whole help text', async t => {
-	const commands = ['', 'nodes', 'status', 'policy', ...['init', 'show', 'validate', 'diff', 'patch', 'history', 'wait'].map(name => `policy ${name}`)];
+	const commands = ['', 'nodes', 'status', 'policy', ...['init', 'show', 'validate', 'diff', 'patch', 'history', 'wait', 'restore'].map(name => `policy ${name}`)];
 	for (const command of commands) {
 		const {stdout, status} = await run(...command.split(' ').filter(Boolean), '--help');
 		t.is(status, ExitStatus.Ok);
@@ -128,3 +128,23 @@
 		ExitStatus.UsageInvalid, ExitStatus.UsageInvalid, ExitStatus.PolicyInvalid, ExitStatus.Ok, ExitStatus.Unavailable, ExitStatus.OutcomeUnknown,
 	]);
 });
+
+test('an operator restores the policy to a store that lost it', async t => {
+	const {store, server, run: runAtNode, file} = await open(t);
+	const patch = await file('patch.json', {patchId: 'p1', baseVersion: 1, operations: replaceTimeout});
+	await runAtNode('policy', 'init', await file('policy.json', sampleDocument));
+	const runs = [await runAtNode('policy', 'restore')];
+	await store.compareAndDelete('/kumquatline/policy');
+	runs.push(await runAtNode('policy', 'patch', patch));
+	const later = {
+		nodeId: 'later', incarnation: 'later-1', availabilityZone: 'b', region: 'perth-metro', address: '127.0.0.1', callerPort: 1, state: 'serving', slots: 1, policyVersion: 2,
+	};
+	server.members = [later];
+	runs.push(await runAtNode('policy', 'restore'));
+	server.members = [];
+	runs.push(await runAtNode('policy', 'restore'), await runAtNode('policy', 'patch', patch));
+	t.snapshot(runs);
+	t.deepEqual(runs.map(({status}) => status), [
+		ExitStatus.PolicyConflict, ExitStatus.PolicyConflict, ExitStatus.PolicyConflict, ExitStatus.Ok, ExitStatus.Ok,
+	]);
+});
--- a/src/services/membership/test/versioned-policy.ts
+++ b/src/services/membership/test/versioned-policy.ts
@@ -38,6 +38,10 @@
 		throw new Error('not needed');
 	}
 
+	async restore(): Promise<never> {
+		throw new Error('not needed');
+	}
+
 	preview(): never {
 		throw new Error('not needed');
 	}
--- a/src/services/policy/operator-routes.ts
+++ b/src/services/policy/operator-routes.ts
@@ -25,6 +25,7 @@
 		this.post(router, '/kumquatline/policy/validate', async body => previewPolicy(this.policy, body));
 		this.post(router, '/kumquatline/policy/patch', async (body, signal) => this.policy.submit(body as PolicyPatch, signal));
 		this.post(router, '/kumquatline/policy/init', async (body, signal) => this.policy.initialize(body, signal));
+		this.post(router, '/kumquatline/policy/restore', async (_body, signal) => this.policy.restore(signal));
 	}
 
 	/** The policy in force as operators keep it: without its history. */
--- a/src/services/policy/policy-service.ts
+++ b/src/services/policy/policy-service.ts
@@ -31,6 +31,11 @@
 	submit(patch: PolicyPatch, signal: AbortSignal): Promise<PatchResult>;
 	/** Applies a patch to the policy in force without writing it: the policy it would make, or `policy-conflict` or `policy-invalid`. */
 	preview(patch: PolicyPatch): Policy;
+	/**
+	Writes the policy in force here to a store that has lost it or holds an earlier one;
+	`policy-conflict` when the store holds the same or a later version.
+	*/
+	restore(signal: AbortSignal): Promise<PatchResult>;
 	/** Tells that a peer has this version, as gossip hears it. */
 	hearOf(version: number, peer: PeerAddress): void;
 	/** Whether this node watches the store for new versions, or relies on its peers and a slow check. */
--- a/src/services/policy/policy-writer.ts
+++ b/src/services/policy/policy-writer.ts
@@ -58,6 +58,22 @@
 		}
 	}
 
+	/** Writes a policy over an earlier one or none, once; the outcome of a lost answer is open. */
+	async restore(policy: Policy, signal: AbortSignal): Promise<void> {
+		const entry = await this.store.get(policyKey, signal);
+		const found = entry && parsePolicy(JSON.parse(entry.value));
+		if (found && found.version >= policy.version) {
+			throw policyRefusal(ErrorKind.PolicyConflict, `the store holds version ${found.version}: there is nothing to restore`);
+		}
+
+		const {swapped, modRevision} = await this.store.compareAndSwap(policyKey, entry?.modRevision ?? 0, JSON.stringify(policy), undefined, signal);
+		if (!swapped) {
+			throw policyRefusal(ErrorKind.PolicyConflict, 'another change of the store came first');
+		}
+
+		this.onDidWrite({policy, modRevision});
+	}
+
 	private async readFirst(signal: AbortSignal): Promise<WrittenPolicy | undefined> {
 		try {
 			return await this.read(signal);
--- a/src/services/policy/stored-policy-service.ts
+++ b/src/services/policy/stored-policy-service.ts
@@ -121,6 +121,12 @@
 		}, signal);
 	}
 
+	async restore(signal: AbortSignal): Promise<PatchResult> {
+		const policy = this.current;
+		await this.writer.restore(policy, signal);
+		return {version: policy.version, repeated: false};
+	}
+
 	preview(patch: PolicyPatch): Policy {
 		return makePatchedPolicy(this.current, parsePatch(patch), Date.now());
 	}
@@ -159,11 +165,13 @@
 			return;
 		}
 
-		this.modRevision = Math.max(this.modRevision, modRevision);
 		if (policy.version === this.version) {
+			this.modRevision = modRevision === 0 ? this.modRevision : modRevision;
 			return;
 		}
 
+		// A store that lost its data counts revisions afresh, so a version's own revision holds, not the highest.
+		this.modRevision = modRevision;
 		this.policy = policy;
 		this.log.info('policy in force', {version: policy.version});
 		this.changeEmitter.fire(policy);
--- a/src/services/policy/test/stored-policy-service.test.ts
+++ b/src/services/policy/test/stored-policy-service.test.ts
@@ -207,3 +207,21 @@
 	const outcome = await repeat;
 	t.is(outcome.version, 2);
 });
+
+test.serial('a restored store is followed again, though it counts revisions afresh', async t => {
+	const {nodes: [first, second]} = await startNodes(2);
+	await first.policy.initialize(sampleDocument, noSignal);
+	await first.policy.submit(importanceOf('normal', 'p1', 1), noSignal);
+	await clock.tickAsync(longMs);
+	t.is(second.policy.version, 2);
+	const emptied = new MemoryStore();
+	const restored = new PolicyNode('restored', emptied, new Map());
+	emptied.put('/kumquatline/policy', JSON.stringify(first.policy.current));
+	await restored.policy.start(noSignal);
+	await t.throwsAsync(restored.policy.restore(noSignal), {message: /nothing to restore/v});
+	await emptied.compareAndDelete('/kumquatline/policy');
+	await t.throwsAsync(restored.policy.submit(importanceOf('high', 'p2', 2), noSignal), {message: /store holds version 0/v});
+	t.like(await restored.policy.restore(noSignal), {version: 2});
+	t.like(await restored.policy.submit(importanceOf('high', 'p2', 2), noSignal), {version: 3});
+	t.deepEqual(restored.versions, [2, 3]);
+});
