Stop gossip and lease at their end, not at the end of starting; prove leaving

Cause: the node aborts the signal given to start when it is told to stop, so the drain was never gossiped and the lease was not renewed while shards were handed over. Excluded: another signal in the program, since starting is what the parameter is for. Change: the signal ends the first tries only. Others are passed on less, and less still when heard again (Demers et al.). A proof of leaving with separate processes, a second fault and a naive node that believes the health endpoint. First parts of the slopes bench.

--- /dev/null
+++ b/bench/slopes/fleet-member.ts
@@ -0,0 +1,106 @@
+import {Kernel} from '../../src/platform/kernel/kernel.js';
+import {LogService} from '../../src/platform/log/log-service.js';
+import {WinstonLogService} from '../../src/platform/log/winston-log-service.js';
+import {MetricsService} from '../../src/platform/metrics/metrics-service.js';
+import {StatsdMetricsService} from '../../src/platform/metrics/statsd-metrics-service.js';
+import {FramedPeerService} from '../../src/platform/peer/framed-peer-service.js';
+import {PeerService} from '../../src/platform/peer/peer-service.js';
+import {FixedSettingsService} from '../../src/platform/settings/fixed-settings-service.js';
+import {SettingsService} from '../../src/platform/settings/settings-service.js';
+import {EtcdStoreService} from '../../src/platform/store/etcd-store-service.js';
+import {StoreService} from '../../src/platform/store/store-service.js';
+import {GossipMembershipService} from '../../src/services/membership/gossip-membership-service.js';
+import {LeaseService} from '../../src/services/membership/lease-service.js';
+import {MemberState} from '../../src/services/membership/member-state.js';
+import {MembershipService} from '../../src/services/membership/membership-service.js';
+import {StoreLeaseService} from '../../src/services/membership/store-lease-service.js';
+import {PolicyService} from '../../src/services/policy/policy-service.js';
+import {StoredPolicyService} from '../../src/services/policy/stored-policy-service.js';
+import {type FleetWorkerOptions} from './fleet-worker-options.js';
+
+const announcement = {
+	service: 'catalogue', port: 1, slots: 55, connections: 440, draining: false,
+};
+
+/** The control side of a node, with its real services and no calls: lease, registration, gossip and policy. */
+export class FleetMember {
+	readonly nodeId: string;
+	/** When this member first knew that another takes no work, or a policy version, in milliseconds since 1970. */
+	readonly seenAtMs = new Map<string, number>();
+	private readonly kernel: Kernel;
+	private readonly stop = new AbortController();
+
+	constructor(options: FleetWorkerOptions, index: number) {
+		const {prefix, zoneCount, storeUrl, gossipIntervalMs, leaseTtlMs, seed} = options;
+		this.nodeId = `${prefix}-${index}`;
+		this.kernel = new Kernel()
+			.registerInstance(SettingsService, new FixedSettingsService({
+				nodeId: this.nodeId,
+				address: '127.0.0.1',
+				availabilityZone: `perth-metro-${index % zoneCount}`,
+				region: 'perth-metro',
+				callerPort: 0,
+				backendPort: 0,
+				peerPort: 0,
+				gossipPort: 0,
+				storeUrls: [storeUrl],
+				leaseTtlMs,
+				leaseMarginMs: 1000,
+				clockSkewBoundMs: 250,
+				shutdownTimeoutMs: 5000,
+				probeAfterMs: 300,
+				abandonAfterMs: 500,
+				gossipIntervalMs,
+				seedAddresses: [],
+				logLevel: 'error',
+				statsdAddress: '',
+				seed: seed + index,
+			}))
+			.register(LogService, WinstonLogService)
+			.register(MetricsService, StatsdMetricsService)
+			.register(StoreService, EtcdStoreService)
+			.register(PeerService, FramedPeerService)
+			.register(PolicyService, StoredPolicyService)
+			.register(LeaseService, StoreLeaseService)
+			.register(MembershipService, GossipMembershipService);
+	}
+
+	get membership(): MembershipService {
+		return this.kernel.get(MembershipService);
+	}
+
+	get policy(): PolicyService {
+		return this.kernel.get(PolicyService);
+	}
+
+	get counters(): Readonly<Record<string, number>> {
+		return this.kernel.get(MetricsService).snapshot().counters;
+	}
+
+	async start(): Promise<void> {
+		await this.kernel.get(PeerService).listen();
+		this.membership.onDidChange(member => {
+			if (member.state !== MemberState.Serving && !this.seenAtMs.has(member.nodeId)) {
+				this.seenAtMs.set(member.nodeId, Date.now());
+			}
+		});
+		this.policy.onDidChange(({version}) => {
+			this.seenAtMs.set(`policy ${version}`, Date.now());
+		});
+		await this.membership.start(this.stop.signal);
+		await this.policy.start(this.stop.signal);
+		this.membership.announce(announcement);
+		this.seenAtMs.clear();
+	}
+
+	/** The backend server announces that it is leaving; its node stays. */
+	drain(): void {
+		this.membership.announce({...announcement, draining: true});
+	}
+
+	/** Ends at once, without a word. */
+	kill(): void {
+		this.stop.abort();
+		this.kernel.dispose();
+	}
+}
--- /dev/null
+++ b/bench/slopes/fleet-process.ts
@@ -0,0 +1,58 @@
+import {type ChildProcess, fork} from 'node:child_process';
+import {fileURLToPath} from 'node:url';
+import {Deferred} from '../../src/base/deferred.js';
+import {type FleetCommand} from './fleet-command.js';
+import {type FleetWorkerOptions} from './fleet-worker-options.js';
+
+const workerFile = fileURLToPath(new URL('fleet-worker.js', import.meta.url));
+
+type Reply = {readonly id: number; readonly answer?: unknown; readonly error?: string};
+
+/** A worker process of a fleet, asked over its channel. */
+export class FleetProcess {
+	readonly ready: Promise<unknown>;
+	private readonly child: ChildProcess;
+	private readonly pending = new Map<number, Deferred<unknown>>();
+	private lastId = 0;
+
+	constructor(options: FleetWorkerOptions) {
+		this.child = fork(workerFile, [JSON.stringify(options)], {execArgv: ['--expose-gc']});
+		this.child.on('message', (reply: Reply) => {
+			this.settle(reply);
+		});
+		this.child.on('exit', code => {
+			for (const deferred of this.pending.values()) {
+				deferred.reject(new Error(`worker ended with ${code}`));
+			}
+		});
+		this.ready = this.expect(0);
+	}
+
+	async ask(command: FleetCommand): Promise<unknown> {
+		this.lastId++;
+		const answer = this.expect(this.lastId);
+		this.child.send({id: this.lastId, command});
+		return answer;
+	}
+
+	kill(): void {
+		this.child.removeAllListeners('exit');
+		this.child.kill('SIGKILL');
+	}
+
+	private async expect(id: number): Promise<unknown> {
+		const deferred = new Deferred<unknown>();
+		this.pending.set(id, deferred);
+		return deferred.promise;
+	}
+
+	private settle({id, answer, error}: Reply): void {
+		const deferred = this.pending.get(id);
+		this.pending.delete(id);
+		if (error === undefined) {
+			deferred?.resolve(answer);
+		} else {
+			deferred?.reject(new Error(error));
+		}
+	}
+}
--- /dev/null
+++ b/bench/slopes/fleet-worker-options.ts
@@ -0,0 +1,11 @@
+/** Members that one worker process holds. */
+export type FleetWorkerOptions = {
+	readonly prefix: string;
+	readonly first: number;
+	readonly count: number;
+	readonly zoneCount: number;
+	readonly storeUrl: string;
+	readonly gossipIntervalMs: number;
+	readonly leaseTtlMs: number;
+	readonly seed: number;
+};
--- /dev/null
+++ b/bench/slopes/fleet.ts
@@ -0,0 +1,109 @@
+import {StoreStandIn} from '../../standins/store/store-stand-in.js';
+import {sleep} from '../../src/base/sleep.js';
+import {FleetProcess} from './fleet-process.js';
+import {type FleetSample} from './fleet-sample.js';
+
+const processCount = 4;
+const zoneCount = 5;
+/** Share of the members that each has to know before the measurement; passing all on within the budget takes longer. */
+const settledShare = 0.9;
+const settleTimeoutMs = 30_000;
+const pollMs = 100;
+const {signal} = new AbortController();
+
+type FleetOptions = {
+	readonly size: number;
+	readonly gossipIntervalMs: number;
+	readonly leaseTtlMs: number;
+	readonly seed: number;
+};
+
+/** Members in a few processes, with a stand-in of the store. */
+export class Fleet {
+	readonly store = new StoreStandIn();
+	private processes: FleetProcess[] = [];
+
+	constructor(private readonly options: FleetOptions) {}
+
+	async start(policy: Readonly<Record<string, unknown>>): Promise<void> {
+		await this.store.listen();
+		const share = Math.ceil(this.options.size / processCount);
+		for (let index = 0; index < processCount; index++) {
+			const first = index * share;
+			this.processes.push(this.fork('node', first, Math.min(share, this.options.size - first)));
+		}
+
+		await Promise.all(this.processes.map(async process => process.ready));
+		await this.processes[0].ask({kind: 'init', policy});
+		await this.whenKnown(this.options.size * settledShare);
+	}
+
+	/** Resolves when every member would send work to so many. */
+	async whenKnown(count: number): Promise<void> {
+		const deadlineMs = performance.now() + settleTimeoutMs;
+		let seen = '';
+		while (performance.now() < deadlineMs) {
+			const known = await Promise.all(this.processes.map(async process => process.ask({kind: 'known'}) as Promise<number>));
+			seen = known.join(', ');
+			if (Math.min(...known) >= count) {
+				return;
+			}
+
+			await sleep(pollMs, signal);
+		}
+
+		throw new Error(`members did not find each other in ${settleTimeoutMs} ms: the least see ${seen} of ${count}`);
+	}
+
+	async samples(): Promise<FleetSample[]> {
+		return Promise.all(this.processes.map(async process => process.ask({kind: 'sample'}) as Promise<FleetSample>));
+	}
+
+	async patch(baseVersion: number): Promise<void> {
+		await this.processes[0].ask({kind: 'patch', baseVersion});
+	}
+
+	async drain(index: number): Promise<void> {
+		await this.processOf(index).ask({kind: 'drain', nodeId: `node-${index}`});
+	}
+
+	async kill(index: number): Promise<void> {
+		await this.processOf(index).ask({kind: 'kill', nodeId: `node-${index}`});
+	}
+
+	/** How long after a moment each member knew of something; undefined for those that did not. */
+	async delaysMs(subject: string, sinceMs: number): Promise<Array<number | undefined>> {
+		const seen = await Promise.all(this.processes.map(async process => process.ask({kind: 'seen', subject}) as Promise<number[]>));
+		return seen.flat().map(atMs => atMs >= sinceMs ? atMs - sinceMs : undefined);
+	}
+
+	/** Kills one process with all its members, and starts as many new ones in a new process. */
+	async replaceOneProcess(): Promise<number> {
+		const share = Math.ceil(this.options.size / processCount);
+		this.processes.pop()?.kill();
+		const replacement = this.fork('new', 0, share);
+		this.processes.push(replacement);
+		await replacement.ready;
+		return share;
+	}
+
+	dispose(): void {
+		for (const process of this.processes) {
+			process.kill();
+		}
+
+		this.processes = [];
+		this.store.dispose();
+	}
+
+	private processOf(index: number): FleetProcess {
+		return this.processes[Math.floor(index / Math.ceil(this.options.size / processCount))];
+	}
+
+	private fork(prefix: string, first: number, count: number): FleetProcess {
+		const {gossipIntervalMs, leaseTtlMs, seed} = this.options;
+		return new FleetProcess({
+			prefix, first, count, zoneCount, storeUrl: this.store.url, gossipIntervalMs, leaseTtlMs, seed,
+		});
+	}
+}
--- a/prove/process/fault-kind.ts
+++ b/prove/process/fault-kind.ts
@@ -11,4 +11,6 @@
 	SlowBackendServer = 'slow-backend-server',
 	CutAnswers = 'cut-answers',
 	ShedAfterBegin = 'shed-after-begin',
+	/** A backend server announces that it is leaving and stays, its health endpoint unchanged. */
+	AnnouncedLeaving = 'announced-leaving',
 }
--- a/prove/process/inject-fault.ts
+++ b/prove/process/inject-fault.ts
@@ -66,6 +66,12 @@
 			break;
 		}
 
+		case FaultKind.AnnouncedLeaving: {
+			await graph.drainBackend(nodeId);
+			await delay(durationMs);
+			break;
+		}
+
 		case FaultKind.ShedAfterBegin: {
 			await withBackendFaults(graph, nodeId, {shedShare: 0.5, shedAfterBegin: true}, durationMs);
 			break;
--- /dev/null
+++ b/prove/process/leaving-run.ts
@@ -0,0 +1,80 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {ProcessGraph} from '../../standins/graph/process-graph.js';
+import {samplePlan} from '../../standins/graph/sample-plan.js';
+import {EventKind} from '../history/event-kind.js';
+import {History} from '../history/history.js';
+import {AttemptSender} from './attempt-sender.js';
+import {FaultKind} from './fault-kind.js';
+import {injectFault} from './inject-fault.js';
+import {mintCharge} from './mint-charge.js';
+import {recordExecutions} from './record-executions.js';
+import {SeededChoices} from './seeded-choices.js';
+
+const nodeFlags = ['--lease-ttl-ms', '2000', '--lease-margin-ms', '500', '--clock-skew-bound-ms', '100'];
+const betweenRequestsMs = 10;
+const latestDrainMs = 1000;
+/** Load goes on for this long after the announcement. */
+const afterDrainMs = 6000;
+const otherFaults = [FaultKind.StoreOutage, FaultKind.LostStoreAnswers, FaultKind.FreezeNode, FaultKind.KillVm, FaultKind.SlowBackendServer];
+
+/** Under load, one backend server announces that it is leaving while its health endpoint lies, with another fault at the same time. */
+export class LeavingRun {
+	readonly history = new History();
+	private readonly choices: SeededChoices;
+	private readonly graph: ProcessGraph;
+	private readonly sender: AttemptSender;
+	private finished = false;
+
+	constructor(seed: number, nodeFile?: string) {
+		this.choices = new SeededChoices(seed);
+		const plan = samplePlan(seed, nodeFlags);
+		const nodes = plan.nodes.map(node => ({...node, backendFlags: ['--print-history']}));
+		this.graph = new ProcessGraph({...plan, nodes, nodeFile});
+		this.sender = new AttemptSender(this.graph, this.history);
+		recordExecutions(this.graph, this.history);
+	}
+
+	async run(): Promise<History> {
+		try {
+			await this.graph.start();
+			await Promise.all([this.sendLoad(), this.leaveAndHarm()]);
+		} finally {
+			await this.sender.dispose();
+			await this.graph.dispose();
+		}
+
+		return this.history;
+	}
+
+	private async sendLoad(): Promise<void> {
+		const sent: Array<Promise<void>> = [];
+		const nodeIds = this.graph.plan.nodes.map(({nodeId}) => nodeId);
+		for (let index = 0; !this.finished; index++) {
+			sent.push(this.sender.send(mintCharge(this.choices, index), this.choices.pick(nodeIds)));
+			await delay(betweenRequestsMs);
+		}
+
+		await Promise.all(sent);
+	}
+
+	private async leaveAndHarm(): Promise<void> {
+		const nodeIds = this.graph.plan.nodes.map(({nodeId}) => nodeId);
+		const leaving = this.choices.pick(nodeIds);
+		const kind = this.choices.pick(otherFaults);
+		const harmed = kind === FaultKind.SlowBackendServer ? leaving : this.choices.pick(nodeIds.filter(nodeId => nodeId !== leaving));
+		const faultMs = this.choices.between(0, latestDrainMs);
+		const drainMs = this.choices.between(0, latestDrainMs);
+		const durationMs = this.choices.between(500, 3500);
+		await Promise.all([
+			this.harm(kind, harmed, faultMs, durationMs),
+			this.harm(FaultKind.AnnouncedLeaving, leaving, drainMs, afterDrainMs),
+		]);
+		this.finished = true;
+	}
+
+	private async harm(kind: FaultKind, nodeId: string, startMs: number, durationMs: number): Promise<void> {
+		await delay(startMs);
+		this.history.record({kind: EventKind.Fault, nodeId, fault: kind});
+		await injectFault(this.graph, {kind, nodeId, durationMs});
+	}
+}
--- a/prove/proofs.ts
+++ b/prove/proofs.ts
@@ -5,6 +5,7 @@
 import {policyProof} from './policy/policy-proof.js';
 import {faultProof} from './process/fault-proof.js';
 import {retryProof} from './process/retry-proof.js';
+import {leavingProof} from './process/leaving-proof.js';
 import {type Proof} from './proof.js';
 import {storeProof} from './store/store-proof.js';
 
@@ -18,4 +19,5 @@
 	retryProof,
 	wholeAnswersProof,
 	silentConnectionsProof,
+	leavingProof,
 ];
--- a/src/services/membership/broadcast-queue.ts
+++ b/src/services/membership/broadcast-queue.ts
@@ -1,20 +1,26 @@
 import {Buffer} from 'node:buffer';
 import {encodeMemberUpdate} from './encode-member-update.js';
 import {type Member} from './member.js';
+import {MemberState} from './member-state.js';
 
 type Broadcast = {
 	readonly encoded: string;
+	readonly revision: number;
+	readonly isUrgent: boolean;
 	transmissions: number;
 };
 
 /** Transmissions of one update by each node that knows it, per decimal digit of the number of members. */
-const transmissionsPerDigit = 4;
+const urgentPerDigit = 7;
+const relaxedPerDigit = 3;
+/** States after which work sent to the member is lost or refused. */
+const urgentStates: ReadonlySet<MemberState> = new Set([MemberState.Draining, MemberState.Suspect, MemberState.Left]);
 
 /** Updates to pass on, the latest of each member, each a bounded number of times (SWIM's dissemination by infection). */
 export class BroadcastQueue {
 	/** How often one update is passed on among so many members. */
-	static transmissionLimit(memberCount: number): number {
-		return Math.ceil(transmissionsPerDigit * Math.log10(memberCount + 1));
+	static transmissionLimit(memberCount: number, isUrgent: boolean): number {
+		return Math.ceil((isUrgent ? urgentPerDigit : relaxedPerDigit) * Math.log10(memberCount + 1));
 	}
 
 	private readonly broadcasts = new Map<string, Broadcast>();
@@ -24,15 +30,31 @@
 	}
 
 	add(member: Member): void {
-		this.broadcasts.set(member.nodeId, {encoded: encodeMemberUpdate(member), transmissions: 0});
+		const {nodeId, revision, state} = member;
+		this.broadcasts.set(nodeId, {
+			encoded: encodeMemberUpdate(member), revision, isUrgent: urgentStates.has(state), transmissions: 0,
+		});
+	}
+
+	/** Another node passed this update on as well: unless it is urgent, one transmission less is needed (Demers et al. 1987). */
+	noteHeard(nodeId: string, revision: number): void {
+		const broadcast = this.broadcasts.get(nodeId);
+		if (broadcast?.revision === revision && !broadcast.isUrgent) {
+			broadcast.transmissions++;
+		}
 	}
 
 	/** Takes the updates passed on least so far, as many as fit. */
 	take(maxBytes: number, memberCount: number): string[] {
-		const limit = BroadcastQueue.transmissionLimit(memberCount);
 		const taken: string[] = [];
 		let leftBytes = maxBytes;
 		for (const [nodeId, broadcast] of this.leastPassedOn()) {
+			const limit = BroadcastQueue.transmissionLimit(memberCount, broadcast.isUrgent);
+			if (broadcast.transmissions >= limit) {
+				this.broadcasts.delete(nodeId);
+				continue;
+			}
+
 			const sizeBytes = Buffer.byteLength(broadcast.encoded) + 1;
 			if (sizeBytes > leftBytes) {
 				break;
--- a/src/services/membership/gossip-channel.ts
+++ b/src/services/membership/gossip-channel.ts
@@ -35,7 +35,7 @@
 const usualHeadBytes = 80;
 /** What passing updates on may cost a node: on average, and at once when many members change together. */
 const updateBytesPerSecond = 500;
-const updateBurstBytes = 16_384;
+const updateBurstBytes = 32_768;
 
 /** Writes and reads this node's datagrams, and puts waiting updates on whatever is sent. */
 export class GossipChannel implements Disposable {
@@ -73,15 +73,15 @@
 		const roomBytes = Math.min(maxDatagramBytes - ownBytes - 1, this.budget.available);
 		const text = encodeMessage(message, [...own, ...this.queue.take(roomBytes, this.table.size)]);
 		const sizeBytes = Buffer.byteLength(text);
-		this.budget.spend(sizeBytes - ownBytes);
-		this.metrics.count('gossip.sent', {}, 1);
+		this.spend(sizeBytes - ownBytes);
+		this.metrics.count('gossip.sent');
 		this.metrics.count('gossip.sent.bytes', {}, sizeBytes + headerBytes);
 		this.socket.send(text, to);
 	}
 
 	/** Sends a datagram that serves updates only, within the average allowed for them. */
 	sendUpdates(to: GossipAddress, kind: GossipMessageKind): void {
-		this.budget.spend(headerBytes + usualHeadBytes);
+		this.spend(headerBytes + usualHeadBytes);
 		this.send(to, kind);
 	}
 
@@ -90,6 +90,11 @@
 		this.receiveEmitter.dispose();
 	}
 
+	private spend(bytes: number): void {
+		this.budget.spend(bytes);
+		this.metrics.count('gossip.passed-on.bytes', {}, bytes);
+	}
+
 	private receive(datagram: Datagram): void {
 		this.metrics.count('gossip.received');
 		this.metrics.count('gossip.received.bytes', {}, datagram.bytes.length + headerBytes);
--- a/src/services/membership/gossip-membership-service.ts
+++ b/src/services/membership/gossip-membership-service.ts
@@ -91,15 +91,12 @@
 	}
 
 	async start(signal: AbortSignal, callerPort = this.settings.settings.callerPort): Promise<void> {
-		signal.addEventListener('abort', () => {
-			this.stop.abort();
-		});
 		const socket = await this.openSocket();
 		this.gossipPort = socket.port;
 		this.callerPort = callerPort;
 		const reader = this.createParts(socket);
 		this.publish();
-		await Promise.all([reader.list(this.stop.signal), this.lease.start(this.stop.signal)]);
+		await Promise.all([reader.list(signal), this.lease.start(signal)]);
 		void reader.run(this.stop.signal);
 	}
 
--- a/src/services/membership/gossiper.ts
+++ b/src/services/membership/gossiper.ts
@@ -59,7 +59,7 @@
 
 	/** Tells some members of the policy version of this node, which every datagram carries. */
 	spreadPolicyVersion(): void {
-		this.policyNewsLeft = BroadcastQueue.transmissionLimit(this.table.size);
+		this.policyNewsLeft = BroadcastQueue.transmissionLimit(this.table.size, true);
 		this.waiter.wake();
 	}
 
@@ -122,6 +122,7 @@
 
 	private receive(message: GossipMessage, from: GossipAddress): void {
 		for (const update of message.updates) {
+			this.channel.queue.noteHeard(update.nodeId, update.revision);
 			this.mergeUpdate(update);
 		}
 
--- a/src/services/membership/lease-service.ts
+++ b/src/services/membership/lease-service.ts
@@ -27,7 +27,7 @@
 	isHeld(): boolean;
 	/** Sets what is written under the lease, now and under every later lease. */
 	setRegistration(registration: Registration): void;
-	/** Obtains the lease and renews it until disposed; resolves after the first try, successful or not. */
+	/** Obtains the lease and renews it until revoked or disposed; resolves after the first try, successful or not. The signal ends that try only. */
 	start(signal: AbortSignal): Promise<void>;
 	/** Gives the lease up, and the registration with it. */
 	revoke(signal: AbortSignal): Promise<void>;
--- a/src/services/membership/membership-service.ts
+++ b/src/services/membership/membership-service.ts
@@ -12,7 +12,7 @@
 	find(nodeId: string): Member | undefined;
 	/** Members of a service that take new work, suspects left out. */
 	upstreams(service: string): readonly Member[];
-	/** Obtains the lease, registers under it and begins to gossip; `callerPort` is the port in use where the settings left it open. */
+	/** Obtains the lease, registers under it and begins to gossip until left or disposed, while the signal ends the first tries only; `callerPort` is the port in use where the settings left it open. */
 	start(signal: AbortSignal, callerPort?: number): Promise<void>;
 	/** Takes over what the VM's backend server says of itself; undefined when it has gone. */
 	announce(announcement: BackendAnnouncement | undefined): void;
--- a/src/services/membership/store-lease-service.ts
+++ b/src/services/membership/store-lease-service.ts
@@ -89,12 +89,8 @@
 	}
 
 	private async begin(signal: AbortSignal): Promise<void> {
-		signal.addEventListener('abort', () => {
-			this.stop.abort();
-		});
-		const stopped = this.stop.signal;
-		await this.attempt(stopped);
-		void this.keep(stopped);
+		await this.attempt(signal);
+		void this.keep(this.stop.signal);
 	}
 
 	/** The task that renews until it is stopped. */
--- a/src/services/membership/test/gossip.test.ts
+++ b/src/services/membership/test/gossip.test.ts
@@ -180,6 +180,16 @@
 	t.is(fleet.states('node-7').filter(state => state === MemberState.Left).length, 30);
 });
 
+fleetTest('a node that was told to stop gossips until it has left', async (t, fleet) => {
+	await fleet.addMany(20);
+	fleet.nodes[4].endStart();
+	fleet.nodes[4].membership.drain();
+	await fleet.clock.tickAsync(1000);
+	t.is(fleet.states('node-4').filter(state => state === MemberState.Draining).length, 20);
+	await fleet.clock.tickAsync(10_000);
+	t.is(fleet.states('node-4').filter(state => state === MemberState.Draining).length, 20);
+});
+
 fleetTest('malformed datagrams are dropped and counted', async (t, fleet) => {
 	await fleet.addMany(2);
 	const from = {address: '127.0.0.1', gossipPort: 1};
--- a/src/services/membership/test/lease.test.ts
+++ b/src/services/membership/test/lease.test.ts
@@ -41,6 +41,7 @@
 		return wrong;
 	} finally {
 		stop.abort();
+		lease.dispose();
 		await clock.tickAsync(60_000);
 		clock.uninstall();
 	}
@@ -77,7 +78,23 @@
 		}, 1);
 		clock.jump(9001);
 	} finally {
+		lease.dispose();
+		clock.uninstall();
+	}
+});
+
+test.serial('a node that was told to stop keeps its lease until it gives it up', async t => {
+	const clock = pauseClock();
+	const {store, lease, stop} = createLease(StoreLeaseService);
+	try {
+		await lease.start(stop.signal);
 		stop.abort();
+		await clock.tickAsync(30_000);
+		t.true(lease.isHeld());
+		await lease.revoke(new AbortController().signal);
+		t.false(lease.isHeld());
+		t.false(store.entries.has(registration.key));
+	} finally {
 		clock.uninstall();
 	}
 });
@@ -105,7 +122,7 @@
 		t.not(lease.leaseId, first);
 		t.is(heldUnregistered, 0);
 	} finally {
-		stop.abort();
+		lease.dispose();
 		clock.uninstall();
 	}
 });
@@ -121,7 +138,7 @@
 		t.is(store.entries.get(registration.key)?.value, 'newer');
 		t.false(lease.isHeld());
 	} finally {
-		stop.abort();
+		lease.dispose();
 		clock.uninstall();
 	}
 });
--- a/src/services/membership/test/membership-fixture.ts
+++ b/src/services/membership/test/membership-fixture.ts
@@ -75,6 +75,11 @@
 		await this.membership.start(this.stop.signal);
 	}
 
+	/** Aborts what the start was given, as a program that is told to stop does. */
+	endStart(): void {
+		this.stop.abort();
+	}
+
 	/** Ends the run as a kill does. */
 	kill(): void {
 		this.stop.abort();
--- a/standins/graph/process-graph.ts
+++ b/standins/graph/process-graph.ts
@@ -67,6 +67,11 @@
 		await post(`${this.node(nodeId).backendServerUrl}/stand-in/faults`, faults);
 	}
 
+	/** Lets one backend server announce that it is leaving; it goes on running. */
+	async drainBackend(nodeId: string): Promise<void> {
+		await post(`${this.node(nodeId).backendServerUrl}/stand-in/drain`, {});
+	}
+
 	async status(nodeId: string, signal?: AbortSignal): Promise<Status> {
 		const {body} = await request(`${this.node(nodeId).url}/kumquatline/status`, {signal});
 		return await body.json() as Status;
