List the registrations again when more has changed than gossip passes on

Cause: 300 members that start within seconds had each missed up to 40 of the others after 30 s, because passing every record on takes longer within the bytes that gossip may cost. Excluded: a larger allowance, which a zone's return would use up against the 2 KB/s. Change: from 40 waiting records on, a node lists once more at a moment spread over 10 s, and what the store lists is passed on no more.

--- a/src/services/membership/broadcast-queue.ts
+++ b/src/services/membership/broadcast-queue.ts
@@ -7,6 +7,7 @@
 	readonly encoded: string;
 	readonly revision: number;
 	readonly isUrgent: boolean;
+	readonly isListed: boolean;
 	transmissions: number;
 };
 
@@ -15,6 +16,7 @@
 const relaxedPerDigit = 3;
 /** States after which work sent to the member is lost or refused. */
 const urgentStates: ReadonlySet<MemberState> = new Set([MemberState.Draining, MemberState.Suspect, MemberState.Left]);
+const listedStates: ReadonlySet<MemberState> = new Set([MemberState.Joined, MemberState.Serving]);
 
 /** Updates to pass on, the latest of each member, each a bounded number of times (SWIM's dissemination by infection). */
 export class BroadcastQueue {
@@ -29,10 +31,15 @@
 		return this.broadcasts.size === 0;
 	}
 
+	/** Waiting updates that the store's registrations hold as well. */
+	get listedCount(): number {
+		return [...this.broadcasts.values()].filter(broadcast => broadcast.isListed).length;
+	}
+
 	add(member: Member): void {
 		const {nodeId, revision, state} = member;
 		this.broadcasts.set(nodeId, {
-			encoded: encodeMemberUpdate(member), revision, isUrgent: urgentStates.has(state), transmissions: 0,
+			encoded: encodeMemberUpdate(member), revision, isUrgent: urgentStates.has(state), isListed: listedStates.has(state), transmissions: 0,
 		});
 	}
 
@@ -44,6 +51,14 @@
 		}
 	}
 
+	/** The store lists this very record, and every node with as long a queue lists as well: it is passed on no more. */
+	noteListed(nodeId: string, revision: number): void {
+		const broadcast = this.broadcasts.get(nodeId);
+		if (broadcast?.isListed && broadcast.revision <= revision) {
+			this.broadcasts.delete(nodeId);
+		}
+	}
+
 	/** Takes the updates passed on least so far, as many as fit. */
 	take(maxBytes: number, memberCount: number): string[] {
 		const taken: string[] = [];
--- a/src/services/membership/gossip-host.ts
+++ b/src/services/membership/gossip-host.ts
@@ -8,6 +8,8 @@
 	/** A newer run of this node's id is about. */
 	noteSuperseded(incarnation: string): void;
 	noteChanged(member: Member): void;
+	/** More has changed than gossip passes on within its budget. */
+	noteBacklog(): void;
 	/** A member has this policy version. */
 	notePolicyVersion(member: Member): void;
 }
--- a/src/services/membership/gossip-membership-service.ts
+++ b/src/services/membership/gossip-membership-service.ts
@@ -39,6 +39,7 @@
 	private readonly table = new MemberTable();
 	private readonly random: SeededRandom;
 	private gossiper: Gossiper | undefined;
+	private reader: RegistrationReader | undefined;
 	private announcement: BackendAnnouncement | undefined;
 	private isDraining = false;
 	private hasLeft = false;
@@ -95,6 +96,7 @@
 		this.gossipPort = socket.port;
 		this.callerPort = callerPort;
 		const reader = this.createParts(socket);
+		this.reader = reader;
 		this.publish();
 		await Promise.all([reader.list(signal), this.lease.start(signal)]);
 		void reader.run(this.stop.signal);
@@ -176,7 +178,7 @@
 				if (passOn) {
 					gossiper.merge(member);
 				} else {
-					gossiper.learn(member);
+					gossiper.learnListed(member);
 				}
 			},
 			setWatching: (watching: boolean) => {
@@ -206,6 +208,9 @@
 			noteChanged: member => {
 				this.changeEmitter.fire(member);
 			},
+			noteBacklog: () => {
+				this.reader?.listSoon();
+			},
 			notePolicyVersion: member => {
 				if (member.policyVersion > this.policy.version) {
 					this.policy.hearOf(member.policyVersion, member);
--- a/src/services/membership/gossiper.ts
+++ b/src/services/membership/gossiper.ts
@@ -17,6 +17,8 @@
 const fanout = 3;
 /** Rounds of passing on in one probe interval. */
 const roundsPerInterval = 5;
+/** Updates waiting from which on a listing of the store is the cheaper way. */
+const backlogSize = 40;
 const idleWaitMs = 60_000;
 const unreachableStates: ReadonlySet<MemberState> = new Set([MemberState.Suspect, MemberState.Dead]);
 const goneStates: ReadonlySet<MemberState> = new Set([MemberState.Dead, MemberState.Left]);
@@ -54,6 +56,10 @@
 	/** Passes a record on, this node's own included. */
 	spread(member: Member): void {
 		this.channel.queue.add(member);
+		if (this.channel.queue.listedCount > backlogSize) {
+			this.host.noteBacklog();
+		}
+
 		this.waiter.wake();
 	}
 
@@ -78,6 +84,12 @@
 		}
 	}
 
+	/** Takes a registration over that the store lists for everyone. */
+	learnListed(member: Member): void {
+		this.learn(member);
+		this.channel.queue.noteListed(member.nodeId, member.revision);
+	}
+
 	/** Takes a record over that others have as well; returns whether it was news. */
 	learn(member: Member): boolean {
 		if (member.nodeId === this.host.self.nodeId) {
--- a/src/services/membership/registration-reader.ts
+++ b/src/services/membership/registration-reader.ts
@@ -16,6 +16,8 @@
 const relistMs = 900_000;
 /** Listings after the store has come back are spread over this time. */
 const returnSpreadMs = 10_000;
+/** Least time between two listings that were asked for. */
+const minListGapMs = 15_000;
 const firstRetryMs = 500;
 const maxRetryMs = 15_000;
 /** A dead member is kept this long at least, so that late gossip does not bring it back. */
@@ -41,6 +43,7 @@
 	private listed = false;
 	private failures = 0;
 	private relistAtMs = 0;
+	private listedAtMs = 0;
 
 	constructor(
 		private readonly host: RegistrationHost,
@@ -50,17 +53,28 @@
 	) {
 		this.disposables.add(store.onDidChangeReach(reachable => {
 			if (reachable && this.listed) {
-				this.relistAtMs = Math.min(this.relistAtMs, performance.now() + (returnSpreadMs * this.random.next()));
+				this.listSoon();
 			}
 		}));
 	}
 
+	/** Brings the next listing forward, spread over some time because many nodes ask for it at once. */
+	listSoon(): void {
+		const earliestMs = Math.max(performance.now(), this.listedAtMs + minListGapMs);
+		const soonMs = earliestMs + (returnSpreadMs * this.random.next());
+		if (soonMs < this.relistAtMs) {
+			this.relistAtMs = soonMs;
+			this.waiter.wake();
+		}
+	}
+
 	/** Lists once; resolved whether it succeeds or not. */
 	async list(signal: AbortSignal): Promise<void> {
 		try {
 			const {entries} = await this.store.list(registrationPrefix, signal);
 			this.failures = 0;
 			this.listed = true;
+			this.listedAtMs = performance.now();
 			this.relistAtMs = performance.now() + this.random.jitter(relistMs, jitterShare);
 			this.takeOver(entries.map(entry => parseMember(entry.value)).filter(member => member !== undefined));
 		} catch {
