Prove that reads go on in cut-off zones while the store is away

Excluded: a fault switch in the product; the nodes of this proof are programs of their own whose peer calls and datagrams a signal cuts. Change: zones cut and store away at seeded, overlapping times; reads at every node must all succeed, nothing may run twice, a refusal that says not-run must be true.

--- a/prove/add-reports.ts
+++ b/prove/add-reports.ts
@@ -12,6 +12,7 @@
 		refusalsByKind: addCounts(left.refusalsByKind, right.refusalsByKind),
 		unknowns: left.unknowns + right.unknowns,
 		unexplainedUnknowns: left.unexplainedUnknowns + right.unexplainedUnknowns,
+		...(left.outcomes ?? right.outcomes) && {outcomes: addCounts(left.outcomes ?? {}, right.outcomes ?? {})},
 		violations: [...left.violations, ...right.violations],
 	};
 }
--- /dev/null
+++ b/prove/history/find-failed-reads.ts
@@ -0,0 +1,11 @@
+import {EventKind} from './event-kind.js';
+import {type HistoryEvent} from './history-event.js';
+
+/** Reads that a node did not answer whole although nothing befell the node itself. */
+export function findFailedReads(events: readonly HistoryEvent[]): string[] {
+	const harmed = new Set(events.filter(event => event.kind === EventKind.Fault).map(event => event.nodeId));
+	return events
+		.filter(event => event.kind === EventKind.Answered || event.kind === EventKind.Lost)
+		.filter(event => event.requestId?.startsWith('read-') && !harmed.has(event.nodeId) && event.status !== 200)
+		.map(event => `${event.requestId} at ${event.nodeId} ended with ${event.errorKind ?? event.status ?? 'nothing'}`);
+}
--- a/prove/proof-report.ts
+++ b/prove/proof-report.ts
@@ -8,6 +8,8 @@
 	readonly unknowns: number;
 	/** Unknown outcomes of ids that no fault could have touched. */
 	readonly unexplainedUnknowns: number;
+	/** Further counts of a proof, by what they count. */
+	readonly outcomes?: Readonly<Record<string, number>>;
 	/** Each broken promise in words. */
 	readonly violations: readonly string[];
 };
--- a/prove/proofs.ts
+++ b/prove/proofs.ts
@@ -8,6 +8,7 @@
 import {leavingProof} from './process/leaving-proof.js';
 import {type Proof} from './proof.js';
 import {storeProof} from './store/store-proof.js';
+import {zoneCutProof} from './zones/zone-cut-proof.js';
 
 /** Every proof there is; each area adds its own here. */
 export const proofs: readonly Proof[] = [
@@ -20,4 +21,5 @@
 	wholeAnswersProof,
 	silentConnectionsProof,
 	leavingProof,
+	zoneCutProof,
 ];
--- /dev/null
+++ b/prove/zones/cuttable-membership-service.ts
@@ -0,0 +1,31 @@
+import {serviceDependencies} from '../../src/platform/kernel/service-dependencies.js';
+import {type DatagramSocket} from '../../src/services/membership/datagram-socket.js';
+import {type GossipAddress} from '../../src/services/membership/gossip-address.js';
+import {GossipMembershipService} from '../../src/services/membership/gossip-membership-service.js';
+import {type ZoneCut} from './zone-cut.js';
+
+/** Membership whose datagrams do not leave the zone while it is cut off. */
+export class CuttableMembershipService extends GossipMembershipService {
+	zoneCut!: ZoneCut;
+	/** Whether the store has renewed this node's lease of late. */
+	hasLease!: () => boolean;
+
+	protected override async openSocket(): Promise<DatagramSocket> {
+		const socket = await super.openSocket();
+		const send = socket.send.bind(socket);
+		socket.send = (bytes, to) => {
+			if (!this.isSeparated(to)) {
+				send(bytes, to);
+			}
+		};
+
+		return socket;
+	}
+
+	private isSeparated({gossipPort}: GossipAddress): boolean {
+		const receiver = this.members.find(member => member.gossipPort === gossipPort);
+		return receiver !== undefined && this.zoneCut.separates(receiver.nodeId);
+	}
+}
+
+serviceDependencies.set(CuttableMembershipService, serviceDependencies.get(GossipMembershipService)!);
--- /dev/null
+++ b/prove/zones/cuttable-peer-service.ts
@@ -0,0 +1,34 @@
+import {ErrorKind} from '../../src/base/error-kind.js';
+import {KumquatlineError} from '../../src/base/kumquatline-error.js';
+import {sleep} from '../../src/base/sleep.js';
+import {serviceDependencies} from '../../src/platform/kernel/service-dependencies.js';
+import {FramedPeerService} from '../../src/platform/peer/framed-peer-service.js';
+import {type PeerAddress} from '../../src/platform/peer/peer-address.js';
+import {type PeerMethod} from '../../src/platform/peer/peer-method.js';
+import {type PeerCallOptions} from '../../src/platform/peer/peer-service.js';
+import {type ZoneCut} from './zone-cut.js';
+
+/** Silence after which a call into a cut-off zone is given up. */
+const silenceMs = 800;
+
+/** Calls between nodes that neither reach another zone nor bring answers from it while the zones are cut off. */
+export class CuttablePeerService extends FramedPeerService {
+	zoneCut!: ZoneCut;
+
+	override async call<P, R>(peer: PeerAddress, method: PeerMethod<P, R>, params: P, options: PeerCallOptions): Promise<R> {
+		if (this.zoneCut.separates(peer.nodeId)) {
+			await sleep(Math.min(silenceMs, options.timeoutMs), new AbortController().signal);
+			throw new KumquatlineError(ErrorKind.PeerUnreachable, `${peer.nodeId} is cut off`, {started: false});
+		}
+
+		const changesBefore = this.zoneCut.changeCount;
+		const result = await super.call(peer, method, params, options);
+		if (this.zoneCut.changeCount !== changesBefore && this.zoneCut.separates(peer.nodeId)) {
+			throw new KumquatlineError(ErrorKind.PeerLost, `${peer.nodeId} was cut off`);
+		}
+
+		return result;
+	}
+}
+
+serviceDependencies.set(CuttablePeerService, serviceDependencies.get(FramedPeerService)!);
--- /dev/null
+++ b/prove/zones/zone-cut-run.ts
@@ -0,0 +1,139 @@
+import {Buffer} from 'node:buffer';
+import {setTimeout as delay} from 'node:timers/promises';
+import {fileURLToPath} from 'node:url';
+import {request} from 'undici';
+import {ProcessGraph} from '../../standins/graph/process-graph.js';
+import {samplePlan} from '../../standins/graph/sample-plan.js';
+import {EventKind} from '../history/event-kind.js';
+import {History} from '../history/history.js';
+import {AttemptSender} from '../process/attempt-sender.js';
+import {FaultKind} from '../process/fault-kind.js';
+import {mintCharge} from '../process/mint-charge.js';
+import {recordExecutions} from '../process/record-executions.js';
+import {SeededChoices} from '../process/seeded-choices.js';
+
+const nodeFile = fileURLToPath(new URL('cuttable-node.js', import.meta.url));
+const nodeFlags = ['--lease-ttl-ms', '2000', '--lease-margin-ms', '500', '--clock-skew-bound-ms', '100'];
+const betweenRequestsMs = 20;
+const beforeMs = 500;
+const betweenFaultsMs = 1000;
+const minCutMs = 3000;
+const maxCutMs = 5000;
+const afterMs = 3000;
+const zoneCutFault = 'zone-cut';
+
+/** Reads and charges at every node while the zones are cut off from each other and the store is away, both at seeded moments. */
+export class ZoneCutRun {
+	readonly history = new History();
+	/** Charges sent during the cut, by kind of id and answer. */
+	readonly chargesDuringCut: Record<string, number> = {};
+	private readonly choices: SeededChoices;
+	private readonly graph: ProcessGraph;
+	private readonly sender: AttemptSender;
+	private finished = false;
+	private isCut = false;
+	private sentCount = 0;
+
+	constructor(seed: number, file = nodeFile) {
+		this.choices = new SeededChoices(seed);
+		const plan = samplePlan(seed, nodeFlags);
+		const nodes = plan.nodes.map(node => ({...node, backendFlags: ['--print-history']}));
+		this.graph = new ProcessGraph({...plan, nodes, nodeFile: file});
+		this.sender = new AttemptSender(this.graph, this.history);
+		recordExecutions(this.graph, this.history);
+	}
+
+	async run(): Promise<History> {
+		try {
+			await this.graph.start();
+			await Promise.all([this.sendLoad(), this.cutAndJoin()]);
+		} finally {
+			await this.sender.dispose();
+			await this.graph.dispose();
+		}
+
+		return this.history;
+	}
+
+	private async cutAndJoin(): Promise<void> {
+		await delay(beforeMs);
+		const cutMs = this.choices.between(minCutMs, maxCutMs);
+		await Promise.all([
+			this.cutZones(this.choices.between(0, betweenFaultsMs), cutMs),
+			this.takeStoreAway(this.choices.between(0, betweenFaultsMs), cutMs),
+		]);
+		await delay(afterMs);
+		this.finished = true;
+	}
+
+	private async cutZones(startMs: number, durationMs: number): Promise<void> {
+		await delay(startMs);
+		this.history.record({kind: EventKind.Fault, fault: zoneCutFault});
+		this.toggleCut();
+		await delay(durationMs);
+		this.toggleCut();
+	}
+
+	private toggleCut(): void {
+		this.isCut = !this.isCut;
+		for (const program of this.graph.nodes.values()) {
+			program.node.signal('SIGUSR2');
+		}
+	}
+
+	private async takeStoreAway(startMs: number, durationMs: number): Promise<void> {
+		await delay(startMs);
+		this.history.record({kind: EventKind.Fault, fault: FaultKind.StoreOutage});
+		await this.graph.setStoreFaults({outage: true});
+		await delay(durationMs);
+		await this.graph.setStoreFaults({outage: false});
+	}
+
+	private async sendLoad(): Promise<void> {
+		const sent: Array<Promise<void>> = [];
+		const nodeIds = this.graph.plan.nodes.map(({nodeId}) => nodeId);
+		while (!this.finished) {
+			this.sentCount++;
+			const nodeId = this.choices.pick(nodeIds);
+			sent.push(this.sentCount % 2 === 0 ? this.read(nodeId) : this.charge(nodeId, this.sentCount % 4 === 1));
+			await delay(betweenRequestsMs);
+		}
+
+		await Promise.all(sent);
+	}
+
+	private async read(nodeId: string): Promise<void> {
+		const path = `/panels/${this.sentCount}`;
+		await this.sender.send({requestId: `read-${this.sentCount}`, traceId: this.traceId(), path}, nodeId);
+	}
+
+	private async charge(nodeId: string, isReserved: boolean): Promise<void> {
+		const {isCut} = this;
+		const minted = mintCharge(this.choices, this.sentCount);
+		const requestId = isReserved ? await this.reserve(nodeId) : minted.requestId;
+		if (requestId === undefined) {
+			return;
+		}
+
+		await this.sender.send({...minted, requestId}, nodeId);
+		const outcome = this.history.events.findLast(event => event.requestId === requestId
+			&& (event.kind === EventKind.Answered || event.kind === EventKind.Lost));
+		if (isCut) {
+			const name = `${isReserved ? 'reserved' : 'minted'} ${outcome?.errorKind ?? outcome?.status ?? 'lost'}`;
+			this.chargesDuringCut[name] = (this.chargesDuringCut[name] ?? 0) + 1;
+		}
+	}
+
+	/** An id that the node itself owns; undefined where nodes reserve none. */
+	private async reserve(nodeId: string): Promise<string | undefined> {
+		const response = await request(`${this.graph.node(nodeId).url}/kumquatline/ids`, {
+			method: 'POST', headers: {'content-type': 'application/json'}, body: JSON.stringify({count: 1}),
+		});
+		const {ids} = await response.body.json() as {ids: string[]};
+		return ids.at(0);
+	}
+
+	private traceId(): string {
+		return Buffer.from(this.choices.uuidBytes()).toString('hex');
+	}
+}
