Measure what calls, entries and connections cost a node

Change: idempotency entry, open connection and call between nodes in a process of its own; calls through the real programs.

--- a/bench/slopes/fleet-member.ts
+++ b/bench/slopes/fleet-member.ts
@@ -16,6 +16,7 @@
 import {StoreLeaseService} from '../../src/services/membership/store-lease-service.js';
 import {PolicyService} from '../../src/services/policy/policy-service.js';
 import {StoredPolicyService} from '../../src/services/policy/stored-policy-service.js';
+import {benchSettings} from './bench-settings.js';
 import {type FleetWorkerOptions} from './fleet-worker-options.js';
 
 const announcement = {
@@ -34,28 +35,13 @@
 		const {prefix, zoneCount, storeUrl, gossipIntervalMs, leaseTtlMs, seed} = options;
 		this.nodeId = `${prefix}-${index}`;
 		this.kernel = new Kernel()
-			.registerInstance(SettingsService, new FixedSettingsService({
-				nodeId: this.nodeId,
-				address: '127.0.0.1',
+			.registerInstance(SettingsService, new FixedSettingsService(benchSettings(this.nodeId, {
 				availabilityZone: `perth-metro-${index % zoneCount}`,
-				region: 'perth-metro',
-				callerPort: 0,
-				backendPort: 0,
-				peerPort: 0,
-				gossipPort: 0,
 				storeUrls: [storeUrl],
-				leaseTtlMs,
-				leaseMarginMs: 1000,
-				clockSkewBoundMs: 250,
-				shutdownTimeoutMs: 5000,
-				probeAfterMs: 300,
-				abandonAfterMs: 500,
 				gossipIntervalMs,
-				seedAddresses: [],
-				logLevel: 'error',
-				statsdAddress: '',
+				leaseTtlMs,
 				seed: seed + index,
-			}))
+			})))
 			.register(LogService, WinstonLogService)
 			.register(MetricsService, StatsdMetricsService)
 			.register(StoreService, EtcdStoreService)
--- a/bench/slopes/run.ts
+++ b/bench/slopes/run.ts
@@ -5,6 +5,8 @@
 import {fitSlope} from './fit-slope.js';
 import {Fleet} from './fleet.js';
 import {measureFleet} from './measure-fleet.js';
+import {measureHops} from './measure-hops.js';
+import {measureState} from './measure-state.js';
 
 const gossipIntervalMs = 500;
 const leaseTtlMs = 10_000;
@@ -33,6 +35,8 @@
 			storeWritesPerSecond: fitSlope(fleets.map(row => ({x: row.members, y: row.store.writesPerSecond.mean}))),
 		},
 		largestFleet: rows.at(-1)?.faults,
+		state: await measureState(),
+		hops: await measureHops(seed),
 	};
 }
 
--- a/standins/graph/child-program.ts
+++ b/standins/graph/child-program.ts
@@ -49,6 +49,10 @@
 		return this.errors.join('\n');
 	}
 
+	get processId(): number {
+		return this.process.pid ?? 0;
+	}
+
 	signal(name: NodeJS.Signals): void {
 		this.process.kill(name);
 	}
