Compare two different upstreams, and forget their loads with time

Cause: both draws could fall on the same upstream, which with two or three of them is no choice a third to half of the time; and an upstream last heard of as full was not chosen again while others had room. Found by a test of the second.

--- a/src/services/routing/policy-routing-service.ts
+++ b/src/services/routing/policy-routing-service.ts
@@ -2,6 +2,7 @@
 import findMyWay from 'find-my-way';
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {type Disposable} from '../../base/disposable.js';
 import {ErrorKind} from '../../base/error-kind.js';
 import {Execution} from '../../base/execution.js';
 import {KumquatlineError} from '../../base/kumquatline-error.js';
@@ -11,6 +12,7 @@
 import {type UpstreamLoad} from '../admission/upstream-load.js';
 import {type CallContext} from '../calls/call-context.js';
 import {type Member} from '../membership/member.js';
+import {MemberState} from '../membership/member-state.js';
 import {MembershipService} from '../membership/membership-service.js';
 import {type Operation} from '../policy/operation.js';
 import {type Policy} from '../policy/policy.js';
@@ -30,9 +32,10 @@
 type Router = ReturnType<typeof buildRouter>;
 
 /** Routes by the policy in force; chooses upstreams by the power of two random choices, own availability zone first. */
-export class PolicyRoutingService implements RoutingService {
+export class PolicyRoutingService implements RoutingService, Disposable {
 	private readonly records = new Map<string, UpstreamRecord>();
 	private readonly thresholds = new ThresholdMemory();
+	private readonly subscription: Disposable;
 	private readonly random;
 	private router: Router | undefined;
 	private routerVersion = 0;
@@ -42,6 +45,9 @@
 		@PolicyService private readonly policyService: PolicyService,
 		@MembershipService private readonly membership: MembershipService,
 	) {
+		this.subscription = membership.onDidChange(member => {
+			this.forget(member);
+		});
 		this.random = xoroshiro128plus(settingsService.settings.seed || randomInt(maxSeed));
 	}
 
@@ -100,10 +106,14 @@
 		}
 	}
 
-	/** The less loaded of two candidates drawn by limit (the power of two choices). */
+	dispose(): void {
+		this.subscription.dispose();
+	}
+
+	/** The less loaded of two different candidates drawn by limit (the power of two choices). */
 	protected pick(candidates: readonly Member[]): Member | undefined {
 		const first = this.drawByLimit(candidates);
-		const second = this.drawByLimit(candidates);
+		const second = this.drawByLimit(candidates.filter(member => member !== first));
 		if (!first || !second) {
 			return first;
 		}
@@ -166,8 +176,9 @@
 
 	/** Work at an upstream in relation to its limit. */
 	private utilisation(member: Member): number {
-		const {load, inFlight, begunSinceHeard} = this.recordOf(member.nodeId);
-		const work = load ? Math.max(inFlight, load.inFlight + load.queued + begunSinceHeard) : inFlight;
+		const {load, inFlight, begunSinceHeard, heardAtMs} = this.recordOf(member.nodeId);
+		const isFresh = performance.now() - heardAtMs < loadLifetimeMs;
+		const work = load && isFresh ? Math.max(inFlight, load.inFlight + load.queued + begunSinceHeard) : inFlight;
 		return work / this.limitOf(member);
 	}
 
@@ -175,6 +186,14 @@
 		return Math.max(1, this.recordOf(member.nodeId).load?.limit ?? member.slots);
 	}
 
+	/** Drops what is known of a member that is gone. */
+	private forget({nodeId, state}: Member): void {
+		const isGone = state === MemberState.Dead || state === MemberState.Left;
+		if (isGone && this.records.get(nodeId)?.inFlight === 0) {
+			this.records.delete(nodeId);
+		}
+	}
+
 	private recordOf(nodeId: string): UpstreamRecord {
 		let record = this.records.get(nodeId);
 		if (!record) {
--- a/src/services/routing/test/policy-routing-service.test.ts
+++ b/src/services/routing/test/policy-routing-service.test.ts
@@ -1,9 +1,13 @@
+import {install} from '@sinonjs/fake-timers';
 import test from 'ava';
 import {ErrorKind} from '../../../base/error-kind.js';
 import {type KumquatlineError} from '../../../base/kumquatline-error.js';
 import {makeContext} from '../../admission/test/make-context.js';
+import {MemberState} from '../../membership/member-state.js';
 import {Importance} from '../../policy/importance.js';
-import {makeLoad, makeMember, makeRouting} from './routing-fixture.js';
+import {
+	makeLoad, makeMember, makeRouting, onMemberChange,
+} from './routing-fixture.js';
 
 const nobody = new Set<string>();
 
@@ -37,6 +41,30 @@
 	t.true(countChoices(routing, 2).far > 0);
 });
 
+test.serial('a load that was heard long ago keeps no upstream from being chosen', t => {
+	const clock = install();
+	t.teardown(() => {
+		clock.uninstall();
+	});
+	const [busy, other] = [makeMember('busy', 'a', 4), makeMember('other', 'a', 4)];
+	const routing = makeRouting([busy, other]);
+	routing.choose('returns', new Set(['other']));
+	routing.noteReply(busy, makeLoad({inFlight: 4, queued: 100}));
+	t.deepEqual(countChoices(routing, 8), {other: 8});
+	clock.tick(3000);
+	t.true(countChoices(routing, 8).busy > 0);
+});
+
+test('what is known of a member is dropped when it is gone', t => {
+	const member = makeMember('leaving', 'a', 4);
+	const routing = makeRouting([member]);
+	routing.choose('returns', nobody);
+	routing.noteReply(member, makeLoad({}));
+	t.is(routing.loads.size, 1);
+	onMemberChange.fire({...member, state: MemberState.Left});
+	t.is(routing.loads.size, 0);
+});
+
 test('an upstream that is excluded is not chosen', t => {
 	const routing = makeRouting([makeMember('near', 'a', 4)]);
 	t.is(routing.choose('returns', new Set(['near'])), undefined);
--- a/src/services/routing/test/routing-fixture.ts
+++ b/src/services/routing/test/routing-fixture.ts
@@ -1,3 +1,4 @@
+import {Emitter} from '../../../base/emitter.js';
 import {type SettingsService} from '../../../platform/settings/settings-service.js';
 import {type UpstreamLoad} from '../../admission/upstream-load.js';
 import {MemberState} from '../../membership/member-state.js';
@@ -16,10 +17,16 @@
 	callers: [{name: 'foreman', patienceMs: 5000, retryTotal: 3}],
 });
 
+/** Tells every routing service of the tests that a member changed. */
+export const onMemberChange = new Emitter<Member>();
+
 /** Routing of a node in availability zone `a` that sees the given upstreams of `returns`. */
 export function makeRouting(members: readonly Member[]): PolicyRoutingService {
 	const settingsService = {settings: {availabilityZone: 'a', seed: 7}};
-	const membership = {upstreams: (service: string) => service === 'returns' ? members : []};
+	const membership = {
+		upstreams: (service: string) => service === 'returns' ? members : [],
+		onDidChange: onMemberChange.event,
+	};
 	return new PolicyRoutingService(
 		settingsService as SettingsService,
 		{current: policy} as unknown as PolicyService,
