Mint ids from pooled random bytes; cancel backend calls without a signal of their own

A profile of 6,000 reads and 6,000 bookings showed 3 in 100 of the entry node's busy time in random bytes for UUIDs (trial: 5.9 µs each, 1.0 µs pooled) and 2.5 in 100 of the upstream's in making AbortSignals, of which a call now makes one fewer.

--- a/src/platform/peer/framed-peer-service.ts
+++ b/src/platform/peer/framed-peer-service.ts
@@ -2,8 +2,8 @@
 import {
 	connect, createServer, type AddressInfo, type Socket,
 } from 'node:net';
-import {v7 as createUuid} from 'uuid';
 import {type Disposable} from '../../base/disposable.js';
+import {createUuid} from '../../base/create-uuid.js';
 import {Deferred} from '../../base/deferred.js';
 import {ErrorKind} from '../../base/error-kind.js';
 import {fromWireError} from '../../base/from-wire-error.js';
--- a/src/services/backend/backend-client.ts
+++ b/src/services/backend/backend-client.ts
@@ -27,30 +27,29 @@
 		});
 	}
 
-	async send(request: CallRequest, token: string, maxAnswerBytes: number, signal: AbortSignal): Promise<CallAnswer> {
+	/** Sends a request as soon as a connection is free; the collector gives its answer, or gives it up. */
+	send(request: CallRequest, token: string, maxAnswerBytes: number): AnswerCollector {
 		const collector = new AnswerCollector(maxAnswerBytes, token);
-		const cancel = () => {
-			collector.abandon(new KumquatlineError(ErrorKind.CallerGone, 'the call was cancelled', collector.wasSent ? {} : {started: false}));
-		};
+		this.pool.dispatch({
+			method: request.method,
+			path: request.target,
+			headers: {
+				...request.headers,
+				[BackendHeader.Context]: token,
+				[BackendHeader.DeadlineMs]: String(Math.max(1, request.context.deadlineAtMs - Date.now())),
+				[BackendHeader.RequestId]: request.requestId,
+			},
+			body: request.bodyBase64 === '' ? undefined : Buffer.from(request.bodyBase64, 'base64'),
+		}, collector);
+		return collector;
+	}
 
-		signal.addEventListener('abort', cancel, {once: true});
+	/** Waits for the whole answer. */
+	async receive(collector: AnswerCollector): Promise<CallAnswer> {
 		try {
-			this.pool.dispatch({
-				method: request.method,
-				path: request.target,
-				headers: {
-					...request.headers,
-					[BackendHeader.Context]: token,
-					[BackendHeader.DeadlineMs]: String(Math.max(1, request.context.deadlineAtMs - Date.now())),
-					[BackendHeader.RequestId]: request.requestId,
-				},
-				body: request.bodyBase64 === '' ? undefined : Buffer.from(request.bodyBase64, 'base64'),
-			}, collector);
 			return toAnswer(await collector.whole);
 		} catch (error) {
 			throw toKumquatlineError(error, collector.wasSent);
-		} finally {
-			signal.removeEventListener('abort', cancel);
 		}
 	}
 
--- a/src/services/backend/loopback-backend-service.ts
+++ b/src/services/backend/loopback-backend-service.ts
@@ -122,10 +122,10 @@
 
 	private async send(client: BackendClient, call: RunningCall, remainingMs: number, signal: AbortSignal): Promise<CallAnswer> {
 		const token = randomUUID();
-		const ending = new AbortController();
+		const answer = client.send(call.request, token, this.policyService.current.maxAnswerBytes);
 		const end = (reason: ErrorKind.DeadlineExceeded | ErrorKind.CallerGone) => {
-			call.end(reason);
-			ending.abort();
+			call.end();
+			answer.abandon(endedEarly(reason, answer.wasSent));
 		};
 
 		const leave = () => {
@@ -137,9 +137,7 @@
 		signal.addEventListener('abort', leave, {once: true});
 		this.running.set(token, call);
 		try {
-			return await client.send(call.request, token, this.policyService.current.maxAnswerBytes, ending.signal);
-		} catch (error) {
-			throw call.endedBy ? endedEarly(call.endedBy, error) : error;
+			return await client.receive(answer);
 		} finally {
 			this.running.delete(token);
 			call.end();
@@ -182,7 +180,6 @@
 	writeProblem(response, new KumquatlineError(ErrorKind.Internal, 'no handler for requests is set', {started: false}));
 }
 
-function endedEarly(kind: ErrorKind, cause: unknown): KumquatlineError {
-	const started = cause instanceof KumquatlineError ? cause.started : undefined;
-	return new KumquatlineError(kind, 'the call ended before the backend server had answered', {started, cause});
+function endedEarly(kind: ErrorKind, wasSent: boolean): KumquatlineError {
+	return new KumquatlineError(kind, 'the call ended before the backend server had answered', wasSent ? {} : {started: false});
 }
--- a/src/services/backend/running-call.ts
+++ b/src/services/backend/running-call.ts
@@ -1,5 +1,4 @@
 import {createHash} from 'node:crypto';
-import {type ErrorKind} from '../../base/error-kind.js';
 import {type OwnTime} from '../admission/admission-service.js';
 import {type CallRequest} from '../calls/call-request.js';
 import {deriveRequestId} from '../ownership/derive-request-id.js';
@@ -9,23 +8,16 @@
 	private readonly subCalls = new Set<AbortController>();
 	private readonly occurrences = new Map<string, number>();
 	private ended = false;
-	private endKind: ErrorKind | undefined;
 
 	constructor(readonly request: CallRequest, readonly ownTime: OwnTime) {}
 
-	/** Why the call ended before its answer, if it did. */
-	get endedBy(): ErrorKind | undefined {
-		return this.endKind;
-	}
-
 	get hasEnded(): boolean {
 		return this.ended;
 	}
 
-	/** Ends the call, before its answer if a reason is given, and its sub-calls with it. */
-	end(reason?: ErrorKind.DeadlineExceeded | ErrorKind.CallerGone): void {
+	/** Ends the call and its sub-calls with it. */
+	end(): void {
 		this.ended = true;
-		this.endKind ??= reason;
 		for (const subCall of this.subCalls) {
 			subCall.abort();
 		}
--- a/src/services/callers/request-builder.ts
+++ b/src/services/callers/request-builder.ts
@@ -1,5 +1,5 @@
 import {type IncomingMessage} from 'node:http';
-import {v7 as createUuid} from 'uuid';
+import {createUuid} from '../../base/create-uuid.js';
 import {ErrorKind} from '../../base/error-kind.js';
 import {KumquatlineError} from '../../base/kumquatline-error.js';
 import {type SettingsService} from '../../platform/settings/settings-service.js';
--- a/src/services/calls/graph-call-service.ts
+++ b/src/services/calls/graph-call-service.ts
@@ -1,4 +1,4 @@
-import {v7 as uuidv7} from 'uuid';
+import {createUuid} from '../../base/create-uuid.js';
 import {ErrorKind} from '../../base/error-kind.js';
 import {KumquatlineError} from '../../base/kumquatline-error.js';
 import {MetricsService} from '../../platform/metrics/metrics-service.js';
@@ -80,7 +80,7 @@
 			tried.add(nodeId);
 		};
 
-		return this.upstreams.execute(request, {callId: uuidv7(), exclude, onWillSend}, signal);
+		return this.upstreams.execute(request, {callId: createUuid(), exclude, onWillSend}, signal);
 	}
 }
 
