Close connections between nodes by agreement; prove graceful shutdown

Excluded: the hand-over itself (the ids had run once, at their new owner). Change: the leaving node has each peer send no more calls, answers those that came before, then closes.

--- a/prove/naive/ordered-peer-service.ts
+++ b/prove/naive/ordered-peer-service.ts
@@ -49,6 +49,8 @@
 		await once(this.server, 'listening');
 	}
 
+	async close(): Promise<void> {/* Nothing is open. */}
+
 	handle<P, R>(method: PeerMethod<P, R>, handler: (params: P, call: PeerCall) => Promise<R>): Disposable {
 		this.handlers.set(method.name, async (params, call) => handler(params as P, call));
 		return toDisposable(() => {
--- a/prove/proofs.ts
+++ b/prove/proofs.ts
@@ -6,6 +6,7 @@
 import {faultProof} from './process/fault-proof.js';
 import {retryProof} from './process/retry-proof.js';
 import {leavingProof} from './process/leaving-proof.js';
+import {shutdownProof} from './process/shutdown-proof.js';
 import {type Proof} from './proof.js';
 import {storeProof} from './store/store-proof.js';
 import {zoneCutProof} from './zones/zone-cut-proof.js';
@@ -18,6 +19,7 @@
 	policyProcessProof,
 	faultProof,
 	retryProof,
+	shutdownProof,
 	wholeAnswersProof,
 	silentConnectionsProof,
 	leavingProof,
--- a/src/platform/peer/call-receiver.ts
+++ b/src/platform/peer/call-receiver.ts
@@ -28,6 +28,10 @@
 
 	constructor(private readonly clockSkewBoundMs: number, private readonly metrics: MetricsService) {
 		this.server.addMethod('ping', () => true);
+		this.server.addMethod('retire', (_params, connection) => {
+			connection.acceptRetirement();
+			return true;
+		});
 		this.server.addMethod('cancel', (params: Partial<CancelParams> | undefined, connection) => {
 			if (typeof params?.id === 'string' && typeof params.deadlineAtMs === 'number') {
 				this.cancel(params.id, connection.knownPeer!, params.deadlineAtMs);
--- a/src/platform/peer/frame-channel.ts
+++ b/src/platform/peer/frame-channel.ts
@@ -70,6 +70,15 @@
 		this.close();
 	}
 
+	/** Resolves when all that was sent has left this process, and closes. */
+	async finish(): Promise<void> {
+		const left = new Deferred<void>();
+		this.socket.once('close', left.resolve);
+		this.socket.end(left.resolve);
+		await left.promise;
+		this.dispose();
+	}
+
 	dispose(): void {
 		this.socket.destroy();
 		this.close();
--- a/src/platform/peer/framed-peer-service.ts
+++ b/src/platform/peer/framed-peer-service.ts
@@ -82,6 +82,11 @@
 		return await (isSelf ? this.callSelf(call, options) : this.callPeer(peer, call, options)) as R;
 	}
 
+	async close(): Promise<void> {
+		this.server.close();
+		await Promise.all([...this.connections].map(async connection => connection.retire()));
+	}
+
 	dispose(): void {
 		this.server.close();
 		this.receiver.dispose();
--- a/src/platform/peer/peer-connection.ts
+++ b/src/platform/peer/peer-connection.ts
@@ -31,6 +31,8 @@
 export class PeerConnection implements Disposable {
 	private readonly identified = new Deferred<PeerIdentity>();
 	private readonly closeEmitter = new Emitter<void>();
+	/** Fired when every request that came has been answered. */
+	private readonly answeredEmitter = new Emitter<void>();
 	private readonly pending = new Map<string, Promise<JSONRPCResponse>>();
 	private readonly channel: FrameChannel;
 	private readonly silence: SilenceWatch;
@@ -39,6 +41,7 @@
 	});
 
 	private answering = 0;
+	private isRetired = false;
 	private usedAtMs = performance.now();
 	private identity: PeerIdentity | undefined;
 
@@ -86,6 +89,11 @@
 		return this.channel.isClosed;
 	}
 
+	/** Whether another call may be sent over the connection. */
+	get isUsable(): boolean {
+		return !this.isClosed && !this.isRetired;
+	}
+
 	/** How long nothing was asked or answered over the connection. */
 	get idleMs(): number {
 		return this.pending.size + this.answering > 0 ? 0 : performance.now() - this.usedAtMs;
@@ -106,6 +114,26 @@
 		return this.isClosed && !isAnswered(response) ? undefined : response;
 	}
 
+	/** The other end asked to be sent no more calls; those under way go on. */
+	acceptRetirement(): void {
+		this.isRetired = true;
+	}
+
+	/** Asks the other end to send no more calls, and closes when those that it had sent are answered. */
+	async retire(): Promise<void> {
+		await this.sendRequest(`retire/${randomUUID()}`, 'retire', undefined);
+		if (this.answering > 0 && !this.isClosed) {
+			const answered = new Deferred<void>();
+			const subscriptions = [this.answeredEmitter.event(answered.resolve), this.onDidClose(answered.resolve)];
+			await answered.promise;
+			for (const subscription of subscriptions) {
+				subscription.dispose();
+			}
+		}
+
+		await this.channel.finish();
+	}
+
 	notify(method: string, params: unknown): void {
 		this.channel.send(createJSONRPCNotification(method, params));
 	}
@@ -187,6 +215,10 @@
 			this.channel.send(response);
 		}
 
+		if (this.answering === 0) {
+			this.answeredEmitter.fire();
+		}
+
 		if (!this.isClosed && this.channel.isStuck) {
 			this.options.metrics.count('peer.stuck_readers');
 			this.dispose();
--- a/src/platform/peer/peer-link.ts
+++ b/src/platform/peer/peer-link.ts
@@ -67,7 +67,7 @@
 				break;
 			}
 
-			if (!connection || connection.isClosed) {
+			if (!connection?.isUsable) {
 				continue;
 			}
 
@@ -86,7 +86,7 @@
 	}
 
 	private isOpen(): boolean {
-		return this.connection !== undefined && !this.connection.isClosed;
+		return this.connection?.isUsable ?? false;
 	}
 
 	/** The connection there is, or a new one; undefined when a new one fell silent and another is worth a try. */
--- a/src/platform/peer/peer-service.ts
+++ b/src/platform/peer/peer-service.ts
@@ -31,6 +31,8 @@
 	/** Opens the port; settled when `self` holds the real port. */
 	listen(): Promise<void>;
 	handle<P, R>(method: PeerMethod<P, R>, handler: (params: P, call: PeerCall) => Promise<R>): Disposable;
+	/** Takes no new connections, has peers send no more calls, and resolves when those that they had sent are answered. */
+	close(): Promise<void>;
 	/** Calls a peer, or this node's own handler when the peer is this node. */
 	call<P, R>(peer: PeerAddress, method: PeerMethod<P, R>, params: P, options: PeerCallOptions): Promise<R>;
 }
--- a/src/platform/peer/test/framed-peer-service.test.ts
+++ b/src/platform/peer/test/framed-peer-service.test.ts
@@ -82,3 +82,39 @@
 	t.like(await t.throwsAsync(left.peers.call(address, echo, {text: ''}, {timeoutMs})), {kind: ErrorKind.PeerUnreachable, started: false});
 	left.kernel.dispose();
 });
+
+test('a peer that closes answers what it was sent, and a later call certainly did not reach it', async t => {
+	const [left, right] = [await startPeer('left'), await startPeer('right')];
+	const [began, gate] = [new Deferred<void>(), new Deferred<void>()];
+	right.peers.handle(echo, async params => {
+		began.resolve();
+		await gate.promise;
+		return params;
+	});
+	const first = left.peers.call(right.peers.self, echo, {text: 'x'}, {timeoutMs});
+	await began.promise;
+	const closed = right.peers.close();
+	const onTheWay = left.peers.call(right.peers.self, echo, {text: 'y'}, {timeoutMs});
+	gate.resolve();
+	t.deepEqual([await first, await onTheWay], [{text: 'x'}, {text: 'y'}]);
+	await closed;
+	const later = left.peers.call(right.peers.self, echo, {text: 'z'}, {timeoutMs});
+	t.like(await t.throwsAsync<KumquatlineError>(later), {kind: ErrorKind.PeerUnreachable, started: false});
+	left.kernel.dispose();
+	right.kernel.dispose();
+});
+
+test('a peer that is just ended fails that check', async t => {
+	const [left, right] = [await startPeer('left'), await startPeer('right')];
+	const began = new Deferred<void>();
+	right.peers.handle(echo, async params => {
+		began.resolve();
+		await new Deferred<void>().promise;
+		return params;
+	});
+	const first = left.peers.call(right.peers.self, echo, {text: 'x'}, {timeoutMs});
+	await began.promise;
+	right.kernel.dispose();
+	t.like(await t.throwsAsync<KumquatlineError>(first), {kind: ErrorKind.PeerLost});
+	left.kernel.dispose();
+});
--- a/src/programs/node/node.ts
+++ b/src/programs/node/node.ts
@@ -56,6 +56,7 @@
 		await this.kernel.get(CallerService).close();
 		await this.kernel.get(AdmissionService).whenIdle();
 		await this.kernel.get(MembershipService).leave(signal);
+		await this.kernel.get(PeerService).close();
 	}
 
 	private wireBackend(): void {
--- a/src/services/membership/test/memory-peers.ts
+++ b/src/services/membership/test/memory-peers.ts
@@ -22,6 +22,8 @@
 
 	async listen(): Promise<void> {/* No port. */}
 
+	async close(): Promise<void> {/* Nothing is open. */}
+
 	handle<P, R>(method: PeerMethod<P, R>, handler: (params: P, call: PeerCall) => Promise<R>) {
 		const key = `${this.self.incarnation} ${method.name}`;
 		handlers.set(key, handler as Handler);
--- a/src/services/ownership/test/mesh/mesh-peer-service.ts
+++ b/src/services/ownership/test/mesh/mesh-peer-service.ts
@@ -36,6 +36,8 @@
 		this.peers.set(this.self.nodeId, this);
 	}
 
+	async close(): Promise<void> {/* Nothing is open. */}
+
 	handle<P, R>(method: PeerMethod<P, R>, handler: (params: P, call: PeerCall) => Promise<R>): Disposable {
 		this.handlers.set(method.name, handler as Handler);
 		return toDisposable(() => {
--- a/src/services/policy/test/local-peers.ts
+++ b/src/services/policy/test/local-peers.ts
@@ -25,6 +25,8 @@
 		// There is no port.
 	}
 
+	async close(): Promise<void> {/* Nothing is open. */}
+
 	handle<P, R>(method: PeerMethod<P, R>, handler: (params: P, call: PeerCall) => Promise<R>): Disposable {
 		this.handlers.set(method.name, handler as Handler);
 		return toDisposable(() => {
