Spread nodes whose seeds are near each other

Change: createRandom hashes seed and name; the store client and the policy use it. A bench of a change of policy by the policy's size.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,4 +1,4 @@
-// Runs one bench: `npm run bench -- overload|added-latency|slopes|store-calls [--json] [--seed N] …`.
+// Runs one bench: `npm run bench -- overload|added-latency|slopes|store-calls|policy-size [--json] [--seed N] …`.
 import process from 'node:process';
 import {inspect} from 'node:util';
 import {type BenchOptions} from './bench-options.js';
@@ -8,7 +8,7 @@
 	run(options: BenchOptions): Promise<unknown>;
 };
 
-const benches = new Set(['overload', 'added-latency', 'slopes', 'store-calls']);
+const benches = new Set(['overload', 'added-latency', 'slopes', 'store-calls', 'policy-size']);
 
 async function main(): Promise<void> {
 	const [name = '', ...args] = process.argv.slice(2);
--- a/src/platform/store/etcd-store-service.ts
+++ b/src/platform/store/etcd-store-service.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
-import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {type RandomGenerator} from 'pure-rand/types/RandomGenerator';
+import {createRandom} from '../../base/create-random.js';
 import {type Disposable} from '../../base/disposable.js';
 import {DisposableStore} from '../../base/disposable-store.js';
 import {ErrorKind} from '../../base/error-kind.js';
@@ -18,7 +18,6 @@
 import {toStoreEntry} from './to-store-entry.js';
 
 const defaultCheckIntervalMs = 10_000;
-const maxSeed = 0x7F_FF_FF_FF;
 
 const encode = (text: string): string => Buffer.from(text).toString('base64');
 
@@ -30,10 +29,10 @@
 	private readonly random: RandomGenerator;
 
 	constructor(@SettingsService private readonly settingsService: SettingsService) {
-		const {storeUrls, probeAfterMs, abandonAfterMs, seed} = settingsService.settings;
+		const {storeUrls, probeAfterMs, abandonAfterMs, nodeId, seed} = settingsService.settings;
 		this.connection = this.disposables.add(new EtcdConnection({urls: storeUrls, probeAfterMs, abandonAfterMs}));
 		this.onDidChangeReach = this.connection.onDidChangeReach;
-		this.random = xoroshiro128plus(seed === 0 ? Math.floor(Math.random() * maxSeed) : seed);
+		this.random = createRandom(seed, `${nodeId}/store`);
 	}
 
 	get reachable(): boolean {
--- a/src/services/policy/stored-policy-service.ts
+++ b/src/services/policy/stored-policy-service.ts
@@ -1,6 +1,6 @@
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
-import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {type RandomGenerator} from 'pure-rand/types/RandomGenerator';
+import {createRandom} from '../../base/create-random.js';
 import {type Disposable} from '../../base/disposable.js';
 import {DisposableStore} from '../../base/disposable-store.js';
 import {Emitter} from '../../base/emitter.js';
@@ -36,7 +36,6 @@
 const slowCheckIntervalMs = 60_000;
 const firstBackoffMs = 200;
 const backoffLimitMs = 5000;
-const maxSeed = 0x7F_FF_FF_FF;
 
 /** The policy that the store holds, learned from the store or from peers, never an earlier version than before. */
 export class StoredPolicyService implements PolicyService, Disposable {
@@ -58,9 +57,9 @@
 		@PeerService private readonly peers: PeerService,
 		@LogService private readonly log: LogService,
 	) {
-		const {seed, probeAfterMs, abandonAfterMs} = settingsService.settings;
+		const {nodeId, seed, probeAfterMs, abandonAfterMs} = settingsService.settings;
 		this.onDidChange = this.changeEmitter.event;
-		this.random = xoroshiro128plus(seed === 0 ? Math.floor(Math.random() * maxSeed) : seed);
+		this.random = createRandom(seed, `${nodeId}/policy`);
 		this.writer = new PolicyWriter(store, () => this.newBackoff(), () => this.version, ({policy, modRevision}) => {
 			this.take(policy, modRevision);
 		});
