--- a/bench/overload/run.ts
+++ b/bench/overload/run.ts
@@ -42,7 +42,9 @@
 	const systems: OverloadFigures[] = [];
 	for (const system of chooseSystems(args).filter(({name}) => only === undefined || name === only)) {
 		const load = await runLoad(system, setup, seed);
-		systems.push(measureRun(system.name, load, capacityOf(setup) / setup.slowFactor));
+		const figures = measureRun(system.name, load, capacityOf(setup) / setup.slowFactor);
+		console.error(JSON.stringify(figures));
+		systems.push(figures);
 	}
 
 	const {name, scale, usualLoadShare, surgeFactor, slowService, slowFactor, oneWayDelayMs} = setup;
