--- a/prove/answers/whole-answers-proof.ts
+++ b/prove/answers/whole-answers-proof.ts
@@ -3,7 +3,9 @@
 import {findFalseRefusals} from '../history/find-false-refusals.js';
 import {findForeignAnswers} from '../history/find-foreign-answers.js';
 import {findRepeatedExecutions} from '../history/find-repeated-executions.js';
+import {EventKind} from '../history/event-kind.js';
 import {History} from '../history/history.js';
+import {type HistoryEvent} from '../history/history-event.js';
 import {OrderedPeerService} from '../naive/ordered-peer-service.js';
 import {reportHistory} from '../process/report-history.js';
 import {type Proof} from '../proof.js';
@@ -21,6 +23,8 @@
 	harmsBackends: true,
 };
 const timeoutMs = 1000;
+/** A run that answers less shows nothing of its answers. */
+const leastAnswered = 20;
 
 /**
 Whole answers to the right callers, while answers are delayed, reordered, cut, duplicated and swapped between connections,
@@ -41,6 +45,16 @@
 		}
 
 		const {events} = history;
-		return reportHistory(events, [...findForeignAnswers(events), ...findRepeatedExecutions(events), ...findFalseRefusals(events)]);
+		return reportHistory(events, [
+			...findForeignAnswers(events),
+			...findRepeatedExecutions(events),
+			...findFalseRefusals(events),
+			...findTooFewAnswers(events),
+		]);
 	},
 };
+
+function findTooFewAnswers(events: readonly HistoryEvent[]): string[] {
+	const answered = events.filter(event => event.kind === EventKind.Answered && event.status === 200).length;
+	return answered < leastAnswered ? [`only ${answered} of ${shape.requests} requests were answered`] : [];
+}
