Test that a delayed takeover swap takes no effect, and let planned stops leave a node to hand over to

Change: a decision test that holds the takeover's swap until the owner has regained its lease; schedules skip a planned stop of the last serving node.

--- a/prove/ownership/mesh-run.ts
+++ b/prove/ownership/mesh-run.ts
@@ -31,7 +31,7 @@
 			return;
 		}
 
-		if (this.mesh.nodes[step.node].process.isKilled) {
+		if (!this.isPossible(step)) {
 			return;
 		}
 
@@ -85,6 +85,13 @@
 		return requestId;
 	}
 
+	/** Whether a fault can be brought about now; the last node that serves does not leave in a planned way. */
+	private isPossible({action, node: nodeIndex}: MeshStep): boolean {
+		const node = this.mesh.nodes[nodeIndex];
+		const hasSuccessor = this.mesh.nodes.some(other => other !== node && !other.process.isKilled && other.membership.self.state === MemberState.Serving);
+		return !node.process.isKilled && (action !== MeshAction.Leave || hasSuccessor);
+	}
+
 	private async inflict({action, node: nodeIndex, other, durationMs}: MeshStep): Promise<void> {
 		const node = this.mesh.nodes[nodeIndex];
 		const {conditions, store, backends} = this.mesh.parts;
--- a/src/services/ownership/test/mesh/mesh-conditions.ts
+++ b/src/services/ownership/test/mesh/mesh-conditions.ts
@@ -11,6 +11,9 @@
 	extraDelayMs = 0;
 	/** Share of the store's answers that are lost after the change took effect. */
 	lostStoreAnswerShare = 0;
+	/** Node whose compare-and-swaps of shard tables wait until `heldSwaps` settles. */
+	heldSwapsOf = '';
+	heldSwaps = Promise.resolve();
 	readonly random: SeededRandom;
 	private readonly cutPairs = new Set<string>();
 
--- a/src/services/ownership/test/mesh/mesh-store-service.ts
+++ b/src/services/ownership/test/mesh/mesh-store-service.ts
@@ -42,6 +42,10 @@
 	}
 
 	async compareAndSwap(key: string, expectedModRevision: number, value: string, leaseId?: string): Promise<SwapResult> {
+		if (this.conditions.heldSwapsOf === this.process.nodeId && key.startsWith('/kumquatline/shards/')) {
+			await this.conditions.heldSwaps;
+		}
+
 		return this.exchange(() => this.store.compareAndSwap(key, expectedModRevision, value, leaseId));
 	}
 
--- a/src/services/ownership/test/sharded-ownership-service.test.ts
+++ b/src/services/ownership/test/sharded-ownership-service.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import {v7} from 'uuid';
+import {Deferred} from '../../../base/deferred.js';
 import {ErrorKind} from '../../../base/error-kind.js';
 import {Execution} from '../../../base/execution.js';
 import {MemberState} from '../../membership/member-state.js';
@@ -179,3 +180,25 @@
 		t.is(bench.mesh.parts.backends.executions.length, 1);
 	});
 });
+
+test.serial('a takeover whose swap is delayed until the owner has regained its lease takes no effect', async t => {
+	await MeshBench.with(2, async bench => {
+		const owner = bench.ownerOf('order-1');
+		const other = bench.otherThan(owner);
+		const {conditions} = bench.mesh.parts;
+		const delay = new Deferred<void>();
+		conditions.heldSwapsOf = other.nodeId;
+		conditions.heldSwaps = delay.promise;
+		owner.process.isStoreCut = true;
+		bench.mesh.tell(owner, MemberState.Dead);
+		await bench.pass(6000);
+		owner.process.isStoreCut = false;
+		await bench.pass(6000);
+		t.true(owner.get(OwnershipService).isOwner('ledger', 'order-1'));
+		t.deepEqual(await bench.attempted(owner), {answer: 'done order-1'});
+		delay.resolve();
+		await bench.pass(6000);
+		t.is(bench.ownerOf('order-1'), owner);
+		t.deepEqual(await bench.attempted(other), {answer: 'done order-1'});
+	});
+});
