Prove the retry total over the same schedules in one process

Change: the schedules of re-sent ids and faults also run with calls that half fail, are tried again by the entry node and repeated by callers at other nodes; the naive counterpart grants everything.

--- a/prove/ownership/mesh-proof.ts
+++ b/prove/ownership/mesh-proof.ts
@@ -1,95 +1,19 @@
-import {install} from '@sinonjs/fake-timers';
-import {Mesh} from '../../src/services/ownership/test/mesh/mesh.js';
-import {EventKind} from '../history/event-kind.js';
+import {OwnershipService} from '../../src/services/ownership/ownership-service.js';
 import {findForeignAnswers} from '../history/find-foreign-answers.js';
 import {findLateAttempts} from '../history/find-late-attempts.js';
 import {findRepeatedExecutions} from '../history/find-repeated-executions.js';
-import {History} from '../history/history.js';
-import {type HistoryEvent} from '../history/history-event.js';
 import {PlainOwnershipService} from '../naive/plain-ownership-service.js';
-import {reportHistory} from '../process/report-history.js';
-import {type Proof} from '../proof.js';
-import {type ProofReport} from '../proof-report.js';
-import {ProofVariant} from '../proof-variant.js';
-import {makeSchedule} from './make-schedule.js';
-import {MeshAction} from './mesh-action.js';
-import {MeshRun} from './mesh-run.js';
+import {createMeshProof} from './create-mesh-proof.js';
 
-const nodes = 4;
-const ids = 40;
-const sends = 160;
-const faults = 8;
-const lengthMs = 30_000;
-const startMs = 5000;
-const lastPatienceMs = 5000;
-/** Time after the last fault before every id is sent once more. */
-const calmMs = 10_000;
-const afterMs = 20_000;
-/** Of so many seeds one has no faults and one only planned stops: no outcome may be unknown in either. */
-const seedsPerMix = 10;
-const plannedSeed = 5;
-const clockStartMs = 1_800_000_000_000;
-
-/**
-Runs seeded schedules of re-sent ids and faults on the services of four nodes in one process, under a paused clock,
-and checks that no id runs twice and that what was told not-run did not run.
-*/
-export const meshProof: Proof = {
+/** No id runs twice, and what was told not run did not run. */
+export const meshProof = createMeshProof({
 	name: 'at-most-once-and-told-not-run',
-	separateProcesses: false,
-
-	async run(seed: number, variant: ProofVariant): Promise<ProofReport> {
-		const clock = install({now: clockStartMs, toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'Date', 'performance']});
-		try {
-			const mesh = new Mesh(seed, variant === ProofVariant.Naive ? {ownership: PlainOwnershipService} : {});
-			const history = new History();
-			const work = carryOut(mesh, history, seed);
-			await clock.tickAsync(startMs + lengthMs + afterMs);
-			await work;
-			mesh.dispose();
-			return report(history.events, mesh);
-		} finally {
-			clock.uninstall();
-		}
-	},
-};
-
-async function carryOut(mesh: Mesh, history: History, seed: number): Promise<void> {
-	await mesh.start(nodes);
-	await mesh.parts.conditions.pause(startMs - performance.now());
-	const run = new MeshRun(mesh, history);
-	const schedule = makeSchedule(seed, {
-		nodes,
-		ids,
-		sends,
-		faults: seed % seedsPerMix === 0 ? 0 : faults,
-		lengthMs,
-		onlyFault: seed % seedsPerMix === plannedSeed ? MeshAction.Leave : undefined,
-	});
-	let atMs = 0;
-	for (const step of schedule) {
-		await mesh.parts.conditions.pause(step.atMs - atMs);
-		atMs = step.atMs;
-		void run.carryOut(step);
-	}
-
-	await mesh.parts.conditions.pause(lengthMs - atMs + calmMs);
-	for (let id = 0; id < ids; id++) {
-		void run.send(id % nodes, id, lastPatienceMs);
-	}
-}
-
-function report(recorded: readonly HistoryEvent[], mesh: Mesh): ProofReport {
-	const begun = mesh.parts.backends.executions.map(({requestId, rootId: traceId, attemptId, atMs}): HistoryEvent => ({
-		kind: EventKind.Began, requestId, traceId, attemptId, atMs,
-	}));
-	const events = [...recorded, ...begun].sort((one, other) => one.atMs - other.atMs);
-	const violations = [
+	naive: {ownership: PlainOwnershipService},
+	failedShare: 0,
+	call: async (node, request) => node.get(OwnershipService).run(request, new AbortController().signal),
+	findViolations: events => [
 		...findRepeatedExecutions(events),
 		...findLateAttempts(events),
 		...findForeignAnswers(events),
-	];
-	const figures = reportHistory(events, violations);
-	const isPlanned = Object.keys(figures.faultsByKind).every(fault => fault === String(MeshAction.Leave));
-	return isPlanned ? {...figures, unexplainedUnknowns: figures.unknowns} : figures;
-}
+	],
+});
--- /dev/null
+++ b/prove/ownership/mesh-retries-proof.ts
@@ -0,0 +1,26 @@
+import {ErrorKind} from '../../src/base/error-kind.js';
+import {KumquatlineError} from '../../src/base/kumquatline-error.js';
+import {CallService} from '../../src/services/calls/call-service.js';
+import {RetryService} from '../../src/services/retries/retry-service.js';
+import {findExcessExecutions} from '../history/find-excess-executions.js';
+import {UnlimitedRetryService} from '../naive/unlimited-retry-service.js';
+import {createMeshProof} from './create-mesh-proof.js';
+
+/** Total of the mesh's caller. */
+const retryTotal = 3;
+
+/** The executions of one root id stay within one and the total, however often callers and nodes try again. */
+export const meshRetriesProof = createMeshProof({
+	name: 'retry-total-of-repeated-ids',
+	naive: {retries: UnlimitedRetryService},
+	failedShare: 0.5,
+	async call(node, request) {
+		const {signal} = new AbortController();
+		if (!await node.get(RetryService).admitAttempt(request.context, signal)) {
+			throw new KumquatlineError(ErrorKind.RetryDenied, 'the retry total is spent', {started: false});
+		}
+
+		return node.get(CallService).call({...request, idempotent: true}, signal);
+	},
+	findViolations: events => findExcessExecutions(events, retryTotal),
+});
--- a/prove/ownership/mesh-run.ts
+++ b/prove/ownership/mesh-run.ts
@@ -1,6 +1,8 @@
 import {Buffer} from 'node:buffer';
 import {v7} from 'uuid';
 import {KumquatlineError} from '../../src/base/kumquatline-error.js';
+import {type CallAnswer} from '../../src/services/calls/call-answer.js';
+import {type CallRequest} from '../../src/services/calls/call-request.js';
 import {MemberState} from '../../src/services/membership/member-state.js';
 import {OwnershipService} from '../../src/services/ownership/ownership-service.js';
 import {makeRequest} from '../../src/services/ownership/test/mesh/make-request.js';
@@ -18,12 +20,22 @@
 const longestDelayMs = 2000;
 const shortestPatienceMs = 500;
 
+/** How a schedule's attempts are put to a node. */
+export type MeshCall = (node: MeshNode, request: CallRequest) => Promise<CallAnswer>;
+
 /** Carries a schedule out on a mesh and records what callers saw. */
 export class MeshRun {
 	private readonly requestIds = new Map<number, string>();
+	private readonly usualFailedShare: number;
 	private attemptCount = 0;
 
-	constructor(private readonly mesh: Mesh, private readonly history: History) {}
+	constructor(
+		private readonly mesh: Mesh,
+		private readonly history: History,
+		private readonly call: MeshCall,
+	) {
+		this.usualFailedShare = mesh.parts.backends.failedShare;
+	}
 
 	async carryOut(step: MeshStep): Promise<void> {
 		if (step.action === MeshAction.Send) {
@@ -56,7 +68,7 @@
 		const attempt = {requestId, attemptId, mark};
 		try {
 			const request = makeRequest(requestId, {headers: {attempt: attemptId}}, {deadlineAtMs: Date.now() + patienceMs});
-			const answer = await node.get(OwnershipService).run(request, new AbortController().signal);
+			const answer = await this.call(node, request);
 			const answerMark = Buffer.from(answer.bodyBase64, 'base64').toString();
 			this.history.record({
 				...attempt, kind: EventKind.Answered, status: answer.status, answerMark,
@@ -189,7 +201,7 @@
 			case MeshAction.Fail: {
 				backends.failedShare = lostShare;
 				await conditions.pause(durationMs);
-				backends.failedShare = 0;
+				backends.failedShare = this.usualFailedShare;
 				return;
 			}
 
--- a/prove/proofs.ts
+++ b/prove/proofs.ts
@@ -1,6 +1,7 @@
 import {silentConnectionsProof} from './answers/silent-connections-proof.js';
 import {wholeAnswersProof} from './answers/whole-answers-proof.js';
 import {meshProof} from './ownership/mesh-proof.js';
+import {meshRetriesProof} from './ownership/mesh-retries-proof.js';
 import {policyProcessProof} from './policy/policy-process-proof.js';
 import {policyProof} from './policy/policy-proof.js';
 import {faultProof} from './process/fault-proof.js';
@@ -14,6 +15,7 @@
 /** Every proof there is; each area adds its own here. */
 export const proofs: readonly Proof[] = [
 	meshProof,
+	meshRetriesProof,
 	policyProof,
 	storeProof,
 	policyProcessProof,
--- a/src/services/ownership/test/mesh/mesh-node.ts
+++ b/src/services/ownership/test/mesh/mesh-node.ts
@@ -7,6 +7,8 @@
 import {SettingsService} from '../../../../platform/settings/settings-service.js';
 import {StoreService} from '../../../../platform/store/store-service.js';
 import {SilentMetricsService} from '../../../admission/test/silent-metrics-service.js';
+import {CallService} from '../../../calls/call-service.js';
+import {GraphCallService} from '../../../calls/graph-call-service.js';
 import {UpstreamService} from '../../../calls/upstream-service.js';
 import {LeaseService} from '../../../membership/lease-service.js';
 import {MembershipService} from '../../../membership/membership-service.js';
@@ -100,7 +102,8 @@
 			.registerInstance<UpstreamService>(UpstreamService, new MeshUpstreamService(backends, this.process))
 			.register(LeaseService, StoreLeaseService)
 			.register(OwnershipService, parts.ownership)
-			.register(RetryService, parts.retries);
+			.register(RetryService, parts.retries)
+			.register(CallService, GraphCallService);
 		this.membership = new MeshMembershipService(service, peerService, storeService, this.get(LeaseService));
 		this.kernel.registerInstance<MembershipService>(MembershipService, this.membership);
 	}
