--- a/bench/slopes/measure-hops.ts
+++ b/bench/slopes/measure-hops.ts
@@ -1,6 +1,7 @@
 import {randomUUID} from 'node:crypto';
 import {Agent, request} from 'undici';
 import {v7 as uuidv7} from 'uuid';
+import {sleep} from '../../src/base/sleep.js';
 import {ProcessGraph} from '../../standins/graph/process-graph.js';
 import {samplePlan} from '../../standins/graph/sample-plan.js';
 import {processorTimeMs} from './processor-time-ms.js';
@@ -9,6 +10,10 @@
 const concurrency = 16;
 const warmUpCalls = 400;
 const measuredCalls = 1600;
+const settleMs = 4000;
+const idleMs = 10_000;
+const msPerSecond = 1000;
+const {signal} = new AbortController();
 
 type Sender = (graph: ProcessGraph, index: number) => Promise<number>;
 
@@ -38,6 +43,7 @@
 	try {
 		await graph.start();
 		return {
+			idle: await measureIdle(graph),
 			idempotentOneHop: await measureCalls(graph, async (_graph, index) => send(index, 'GET', `/panels/${index}`)),
 			nonIdempotentOneHop: await measureCalls(graph, async (_graph, index) => send(index, 'POST', '/job-sheets')),
 			nonIdempotentTwoHops: await measureCalls(graph, async (_graph, index) => send(index, 'POST', '/extensions')),
@@ -49,12 +55,37 @@
 	}
 }
 
+/** What a whole node costs with no calls at all. */
+async function measureIdle(graph: ProcessGraph) {
+	await sleep(settleMs, signal);
+	const before = await storeCalls(graph);
+	const beforeMs = await totalProcessorTimeMs(graph);
+	await sleep(idleMs, signal);
+	const after = await storeCalls(graph);
+	const share = 1 / (graph.nodes.size * idleMs / msPerSecond);
+	return {
+		cpuSharePercent: round((await totalProcessorTimeMs(graph) - beforeMs) * share / msPerSecond * 100),
+		residentBytes: await meanResidentBytes(graph),
+		openWatches: after.openWatches / graph.nodes.size,
+		storeCallsPerSecond: Object.fromEntries(Object.entries(after.calls).map(([path, count]) => [path, round((count - (before.calls[path] ?? 0)) * share)])),
+	};
+}
+
+async function storeCalls(graph: ProcessGraph): Promise<{calls: Record<string, number>; openWatches: number}> {
+	const {body} = await request(`${graph.storeUrl}/counts`);
+	return await body.json() as {calls: Record<string, number>; openWatches: number};
+}
+
+function round(value: number): number {
+	return Math.round(value * 1000) / 1000;
+}
+
 async function measureCalls(graph: ProcessGraph, send: Sender): Promise<CallCost> {
 	await sendMany(graph, send, warmUpCalls);
 	const beforeMs = await totalProcessorTimeMs(graph);
 	const failed = await sendMany(graph, send, measuredCalls);
 	const usedMs = await totalProcessorTimeMs(graph) - beforeMs;
-	return {cpuMsPerCall: Math.round(usedMs / measuredCalls * 1000) / 1000, calls: measuredCalls, failed};
+	return {cpuMsPerCall: round(usedMs / measuredCalls), calls: measuredCalls, failed};
 }
 
 async function sendMany(graph: ProcessGraph, send: Sender, count: number): Promise<number> {
