Run on the announced slots, less after sheds; leave the learned limit out of the node

Its windows need eight executions, so at ten a second and upstream it grows too slowly after a cold start, and each trial costs three tenths of the limit. Change: ShedLimitService takes the announced slots, 0.8 after a shed, one more each second.

--- a/src/programs/node/create-kernel.ts
+++ b/src/programs/node/create-kernel.ts
@@ -12,9 +12,9 @@
 import {StoreService} from '../../platform/store/store-service.js';
 import {AdmissionService} from '../../services/admission/admission-service.js';
 import {DelayThresholdService} from '../../services/admission/delay-threshold-service.js';
-import {LearnedLimitService} from '../../services/admission/learned-limit-service.js';
 import {LimitService} from '../../services/admission/limit-service.js';
 import {QueueAdmissionService} from '../../services/admission/queue-admission-service.js';
+import {ShedLimitService} from '../../services/admission/shed-limit-service.js';
 import {ThresholdService} from '../../services/admission/threshold-service.js';
 import {BackendService} from '../../services/backend/backend-service.js';
 import {LoopbackBackendService} from '../../services/backend/loopback-backend-service.js';
@@ -51,7 +51,7 @@
 		.register(LeaseService, StoreLeaseService)
 		.register(MembershipService, GossipMembershipService)
 		.register(RoutingService, PolicyRoutingService)
-		.register(LimitService, LearnedLimitService)
+		.register(LimitService, ShedLimitService)
 		.register(ThresholdService, DelayThresholdService)
 		.register(AdmissionService, QueueAdmissionService)
 		.register(BackendService, LoopbackBackendService)
--- /dev/null
+++ b/src/services/admission/test/shed-limit-service.test.ts
@@ -0,0 +1,44 @@
+import {install, type Clock} from '@sinonjs/fake-timers';
+import test from 'ava';
+import {AnnouncedLimitService} from '../announced-limit-service.js';
+import {ShedLimitService} from '../shed-limit-service.js';
+
+let clock: Clock;
+
+test.beforeEach(() => {
+	clock = install();
+});
+
+test.afterEach.always(() => {
+	clock.uninstall();
+});
+
+test.serial('the limit falls when the backend server sheds, and grows back one by one', t => {
+	const service = new ShedLimitService();
+	service.setAnnounced(10, 100, 1);
+	t.is(service.limit, 10);
+	service.noteShed(10);
+	service.noteShed(10);
+	t.is(service.limit, 8);
+	clock.tick(999);
+	t.is(service.limit, 8);
+	clock.tick(1);
+	t.is(service.limit, 9);
+	clock.tick(5000);
+	t.is(service.limit, 10);
+	for (let index = 0; index < 50; index++) {
+		clock.tick(100);
+		service.noteShed(1);
+	}
+
+	t.is(service.limit, 1);
+	service.setAnnounced(10, 100, 2);
+	t.is(service.limit, 10);
+});
+
+test.serial('a limit that takes the announced slots stays when the backend server sheds', t => {
+	const service = new AnnouncedLimitService();
+	service.setAnnounced(10, 100);
+	service.noteShed();
+	t.is(service.limit, 10);
+});
