Give the runs of separate processes one base

Cause: four runs each set up their graph, sender and recorder with the same lines. Change: a base class that starts, records and disposes; each run says what happens in it.

--- a/prove/process/fault-run.ts
+++ b/prove/process/fault-run.ts
@@ -1,14 +1,11 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {samplePlan} from '../../standins/graph/sample-plan.js';
-import {ProcessGraph} from '../../standins/graph/process-graph.js';
 import {EventKind} from '../history/event-kind.js';
-import {History} from '../history/history.js';
-import {AttemptSender, type CallerRequest} from './attempt-sender.js';
+import {type CallerRequest} from './attempt-sender.js';
 import {FaultKind} from './fault-kind.js';
 import {injectFault} from './inject-fault.js';
 import {mintCharge} from './mint-charge.js';
-import {recordExecutions} from './record-executions.js';
-import {SeededChoices} from './seeded-choices.js';
+import {RecordedRun} from './recorded-run.js';
 
 const idCount = 60;
 const attemptsPerId = 4;
@@ -21,37 +18,18 @@
 const maxFaultMs = 3500;
 
 /** One run of separate processes: charges re-sent to several nodes at once, with two faults at any moment. */
-export class FaultRun {
-	readonly history = new History();
-	private readonly choices: SeededChoices;
-	private readonly graph: ProcessGraph;
-
+export class FaultRun extends RecordedRun {
 	constructor(seed: number, nodeFile?: string) {
-		this.choices = new SeededChoices(seed);
-		const plan = samplePlan(seed, nodeFlags);
-		const nodes = plan.nodes.map(node => ({...node, backendFlags: ['--print-history']}));
-		this.graph = new ProcessGraph({
-			...plan, nodes, nodeFile, hasShards: nodeFile === undefined,
-		});
-		recordExecutions(this.graph, this.history);
+		super({...samplePlan(seed, nodeFlags), nodeFile, hasShards: nodeFile === undefined});
 	}
 
-	async run(): Promise<History> {
-		const sender = new AttemptSender(this.graph, this.history);
-		try {
-			await this.graph.start();
-			const charges = Array.from({length: idCount}, (_, index) => mintCharge(this.choices, index));
-			const faults = this.planFaults();
-			await Promise.all([
-				...charges.map(async charge => this.sendAll(sender, charge)),
-				...faults.map(async fault => this.bringAbout(fault)),
-			]);
-		} finally {
-			await sender.dispose();
-			await this.graph.dispose();
-		}
-
-		return this.history;
+	protected async drive(): Promise<void> {
+		const charges = Array.from({length: idCount}, (_, index) => mintCharge(this.choices, index));
+		const faults = this.planFaults();
+		await Promise.all([
+			...charges.map(async charge => this.sendAll(charge)),
+			...faults.map(async fault => this.bringAbout(fault)),
+		]);
 	}
 
 	private planFaults() {
@@ -75,7 +53,7 @@
 	}
 
 	/** Sends the attempts of one id to nodes of either zone, some of them at once. */
-	private async sendAll(sender: AttemptSender, charge: CallerRequest): Promise<void> {
+	private async sendAll(charge: CallerRequest): Promise<void> {
 		const firstMs = this.choices.between(0, spreadMs);
 		const attempts = Array.from({length: attemptsPerId}, () => ({
 			atMs: firstMs + this.choices.pick([0, 0, 20, 300, 1500]),
@@ -83,7 +61,7 @@
 		}));
 		await Promise.all(attempts.map(async ({atMs, nodeId}) => {
 			await delay(atMs);
-			await sender.send(charge, nodeId);
+			await this.sender.send(charge, nodeId);
 		}));
 	}
 }
--- a/prove/process/leaving-run.ts
+++ b/prove/process/leaving-run.ts
@@ -1,14 +1,10 @@
 import {setTimeout as delay} from 'node:timers/promises';
-import {ProcessGraph} from '../../standins/graph/process-graph.js';
 import {samplePlan} from '../../standins/graph/sample-plan.js';
 import {EventKind} from '../history/event-kind.js';
-import {History} from '../history/history.js';
-import {AttemptSender} from './attempt-sender.js';
 import {FaultKind} from './fault-kind.js';
 import {injectFault} from './inject-fault.js';
 import {mintCharge} from './mint-charge.js';
-import {recordExecutions} from './record-executions.js';
-import {SeededChoices} from './seeded-choices.js';
+import {RecordedRun} from './recorded-run.js';
 
 const nodeFlags = ['--lease-ttl-ms', '2000', '--lease-margin-ms', '500', '--clock-skew-bound-ms', '100'];
 const betweenRequestsMs = 10;
@@ -18,32 +14,15 @@
 const otherFaults = [FaultKind.StoreOutage, FaultKind.LostStoreAnswers, FaultKind.FreezeNode, FaultKind.KillVm, FaultKind.SlowBackendServer];
 
 /** Under load, one backend server announces that it is leaving while its health endpoint lies, with another fault at the same time. */
-export class LeavingRun {
-	readonly history = new History();
-	private readonly choices: SeededChoices;
-	private readonly graph: ProcessGraph;
-	private readonly sender: AttemptSender;
+export class LeavingRun extends RecordedRun {
 	private finished = false;
 
 	constructor(seed: number, nodeFile?: string) {
-		this.choices = new SeededChoices(seed);
-		const plan = samplePlan(seed, nodeFlags);
-		const nodes = plan.nodes.map(node => ({...node, backendFlags: ['--print-history']}));
-		this.graph = new ProcessGraph({...plan, nodes, nodeFile});
-		this.sender = new AttemptSender(this.graph, this.history);
-		recordExecutions(this.graph, this.history);
+		super({...samplePlan(seed, nodeFlags), nodeFile});
 	}
 
-	async run(): Promise<History> {
-		try {
-			await this.graph.start();
-			await Promise.all([this.sendLoad(), this.leaveAndHarm()]);
-		} finally {
-			await this.sender.dispose();
-			await this.graph.dispose();
-		}
-
-		return this.history;
+	protected async drive(): Promise<void> {
+		await Promise.all([this.sendLoad(), this.leaveAndHarm()]);
 	}
 
 	private async sendLoad(): Promise<void> {
--- a/prove/process/retry-run.ts
+++ b/prove/process/retry-run.ts
@@ -1,14 +1,10 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {v7 as uuidv7} from 'uuid';
 import {chainPlan} from '../../standins/graph/chain-plan.js';
-import {ProcessGraph} from '../../standins/graph/process-graph.js';
 import {EventKind} from '../history/event-kind.js';
-import {History} from '../history/history.js';
-import {AttemptSender} from './attempt-sender.js';
 import {FaultKind} from './fault-kind.js';
 import {mintCharge} from './mint-charge.js';
-import {recordExecutions} from './record-executions.js';
-import {SeededChoices} from './seeded-choices.js';
+import {RecordedRun} from './recorded-run.js';
 
 const depth = 6;
 const upstreamsPerService = 2;
@@ -20,34 +16,18 @@
 const nodeFlags = ['--lease-ttl-ms', '2000', '--lease-margin-ms', '500', '--clock-skew-bound-ms', '100', '--gossip-interval-ms', '200'];
 
 /** Reads down a chain of six services that fail at every hop, re-sent by callers to other nodes, while an owner of their ids dies. */
-export class RetryRun {
-	readonly history = new History();
-	private readonly choices: SeededChoices;
-	private readonly graph: ProcessGraph;
-	private readonly sender: AttemptSender;
-
+export class RetryRun extends RecordedRun {
 	constructor(private readonly seed: number, retryTotal: number, nodeFile?: string) {
-		this.choices = new SeededChoices(seed);
 		const plan = chainPlan({
 			depth, upstreamsPerService, retryTotal, nodeFlags, seed,
 		});
-		this.graph = new ProcessGraph({...plan, nodeFile});
-		this.sender = new AttemptSender(this.graph, this.history);
-		recordExecutions(this.graph, this.history);
+		super({...plan, nodeFile});
 	}
 
-	async run(): Promise<History> {
-		try {
-			await this.graph.start();
-			await this.failEverywhere();
-			const reads = Array.from({length: requestCount}, async () => this.sendAll());
-			await Promise.all([...reads, this.killOwner()]);
-		} finally {
-			await this.sender.dispose();
-			await this.graph.dispose();
-		}
-
-		return this.history;
+	protected async drive(): Promise<void> {
+		await this.failEverywhere();
+		const reads = Array.from({length: requestCount}, async () => this.sendAll());
+		await Promise.all([...reads, this.killOwner()]);
 	}
 
 	private async failEverywhere(): Promise<void> {
--- a/prove/process/shutdown-run.ts
+++ b/prove/process/shutdown-run.ts
@@ -1,14 +1,10 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {type NodePlan} from '../../standins/graph/graph-plan.js';
 import {samplePlan} from '../../standins/graph/sample-plan.js';
-import {ProcessGraph} from '../../standins/graph/process-graph.js';
 import {EventKind} from '../history/event-kind.js';
-import {History} from '../history/history.js';
-import {AttemptSender} from './attempt-sender.js';
 import {FaultKind} from './fault-kind.js';
 import {mintCharge} from './mint-charge.js';
-import {recordExecutions} from './record-executions.js';
-import {SeededChoices} from './seeded-choices.js';
+import {RecordedRun} from './recorded-run.js';
 
 const nodeFlags = ['--lease-ttl-ms', '3000', '--lease-margin-ms', '500', '--gossip-interval-ms', '200'];
 const betweenRequestsMs = 15;
@@ -17,33 +13,16 @@
 const tailMs = 500;
 
 /** Under load, stops the node and the backend server of one VM of each service, one VM after the other. */
-export class ShutdownRun {
-	readonly history = new History();
-	private readonly choices: SeededChoices;
-	private readonly graph: ProcessGraph;
-	private readonly sender: AttemptSender;
+export class ShutdownRun extends RecordedRun {
 	private readonly stopping = new Set<string>();
 	private finished = false;
 
 	constructor(seed: number, nodeFile?: string) {
-		this.choices = new SeededChoices(seed);
-		const plan = samplePlan(seed, nodeFlags);
-		const nodes = plan.nodes.map(node => ({...node, backendFlags: ['--print-history']}));
-		this.graph = new ProcessGraph({...plan, nodes, nodeFile});
-		this.sender = new AttemptSender(this.graph, this.history);
-		recordExecutions(this.graph, this.history);
+		super({...samplePlan(seed, nodeFlags), nodeFile});
 	}
 
-	async run(): Promise<History> {
-		try {
-			await this.graph.start();
-			await Promise.all([this.sendLoad(), this.replaceAll()]);
-		} finally {
-			await this.sender.dispose();
-			await this.graph.dispose();
-		}
-
-		return this.history;
+	protected async drive(): Promise<void> {
+		await Promise.all([this.sendLoad(), this.replaceAll()]);
 	}
 
 	private async sendLoad(): Promise<void> {
--- a/standins/graph/chain-plan.ts
+++ b/standins/graph/chain-plan.ts
@@ -18,7 +18,6 @@
 		slots: 32,
 		serviceTimeMs: 2,
 		calls: level < depth ? [`GET /level-${level + 1}`] : [],
-		backendFlags: ['--print-history'],
 	})));
 	const operations = levels.map(level => ({
 		name: `read-level-${level}`,
