Seed every choice alike; end what a failing harness started; find a base class's services

Cause: near seeds gave routing near first draws, random numbers were set up twice, stand-ins stayed behind when a proof's program failed, and a subclass without constructor got no services. Measured: 33 tests of kernel, membership and routing pass, the kernel's new one among them.

--- a/src/platform/kernel/kernel.ts
+++ b/src/platform/kernel/kernel.ts
@@ -51,7 +51,7 @@
 
 	/** Creates an object whose constructor asks for services only. */
 	create<T>(constructor: ServiceConstructor<T>): T {
-		const dependencies = serviceDependencies.get(constructor) ?? new Map<number, ServiceId<unknown>>();
+		const dependencies = findDependencies(constructor);
 		const services = [...dependencies]
 			.sort(([left], [right]) => left - right)
 			.map(([, id]) => this.get(id));
@@ -66,3 +66,12 @@
 		}
 	}
 }
+
+/** What a constructor asks for; a class without a constructor of its own asks for what its base class does. */
+function findDependencies(constructor: unknown): ReadonlyMap<number, ServiceId<unknown>> {
+	if (typeof constructor !== 'function') {
+		return new Map();
+	}
+
+	return serviceDependencies.get(constructor) ?? findDependencies(Object.getPrototypeOf(constructor));
+}
--- a/src/platform/kernel/test/kernel.test.ts
+++ b/src/platform/kernel/test/kernel.test.ts
@@ -32,3 +32,14 @@
 	const kernel = new Kernel().register(hostId, Host);
 	t.throws(() => kernel.get(hostId), {message: /greeter is not registered/});
 });
+
+test('a class without a constructor gets the services of its base class', t => {
+	class LoudHost extends Host {
+		override welcome(): string {
+			return super.welcome().toUpperCase();
+		}
+	}
+
+	const kernel = new Kernel().register(greeterId, PoliteGreeter).register(hostId, LoudHost);
+	t.is(kernel.get(hostId).welcome(), 'GOOD DAY');
+});
--- a/src/services/membership/seeded-random.ts
+++ b/src/services/membership/seeded-random.ts
@@ -1,17 +1,12 @@
-import {createHash, randomInt} from 'node:crypto';
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
-import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
-
-const maxSeed = 2_147_483_647;
+import {createRandom} from '../../base/create-random.js';
 
 /** Random choices that a seed reproduces; the node's id sets nodes of one seed apart. */
 export class SeededRandom {
 	private readonly generator;
 
 	constructor(seed: number, nodeId: string) {
-		const base = seed === 0 ? randomInt(maxSeed) : seed;
-		const digest = createHash('sha256').update(`${base}:${nodeId}`).digest();
-		this.generator = xoroshiro128plus(digest.readInt32LE());
+		this.generator = createRandom(seed, nodeId);
 	}
 
 	/** A number from 0 up to but not including 1. */
--- a/src/services/routing/policy-routing-service.ts
+++ b/src/services/routing/policy-routing-service.ts
@@ -1,7 +1,6 @@
-import {randomInt} from 'node:crypto';
 import findMyWay from 'find-my-way';
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
-import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {createRandom} from '../../base/create-random.js';
 import {type Disposable} from '../../base/disposable.js';
 import {ErrorKind} from '../../base/error-kind.js';
 import {Execution} from '../../base/execution.js';
@@ -21,9 +20,6 @@
 import {ThresholdMemory} from './threshold-memory.js';
 import {type UpstreamRecord} from './upstream-record.js';
 
-/** Seeds are 32 bits wide. */
-const maxSeed = 2 ** 31;
-
 /** Time after which an upstream's load counts no longer. */
 const loadLifetimeMs = 2000;
 /** Time after which a refused caller may find room. */
@@ -48,7 +44,7 @@
 		this.subscription = membership.onDidChange(member => {
 			this.forget(member);
 		});
-		this.random = xoroshiro128plus(settingsService.settings.seed || randomInt(maxSeed));
+		this.random = createRandom(settingsService.settings.seed, `${settingsService.settings.nodeId}/routing`);
 	}
 
 	get loads(): ReadonlyMap<string, UpstreamLoad> {
--- a/standins/graph/child-program.ts
+++ b/standins/graph/child-program.ts
@@ -22,8 +22,15 @@
 	constructor(readonly name: string, args: readonly string[], private readonly isReady: (line: Line) => boolean) {
 		this.onDidPrint = this.printEmitter.event;
 		this.process = spawn(process.execPath, args, {stdio: ['ignore', 'pipe', 'pipe']});
+		// Nothing that was started stays behind, even when the harness itself fails.
+		const end = () => {
+			this.process.kill('SIGKILL');
+		};
+
+		process.once('exit', end);
 		this.exited = new Promise(resolve => {
 			this.process.once('close', code => {
+				process.off('exit', end);
 				this.ready.reject(new Error(`${name} ended early with ${code}: ${this.errors.join('\n')}`));
 				resolve(code ?? undefined);
 			});
