--- a/prove/process/leaving-run.ts
+++ b/prove/process/leaving-run.ts
@@ -29,7 +29,11 @@
 		const sent: Array<Promise<void>> = [];
 		const nodeIds = this.graph.plan.nodes.map(({nodeId}) => nodeId);
 		for (let index = 0; !this.finished; index++) {
-			sent.push(this.sender.send(mintCharge(this.choices, index), this.choices.pick(nodeIds)));
+			const charge = mintCharge(this.choices, index);
+			const read = {
+				requestId: `read-${index}`, traceId: charge.traceId, path: `/panels/${index}`, withoutKey: true,
+			};
+			sent.push(this.sender.send(index % 3 === 0 ? read : charge, this.choices.pick(nodeIds)));
 			await delay(betweenRequestsMs);
 		}
 
