Move HTTP reading and writing below the services that share it

Cause: policy and backend imported from callers to read bodies and write problems. Change: the four files that know HTTP only are in platform/http, the two that know calls in services/calls.

--- a/src/services/callers/request-builder.ts
+++ b/src/services/callers/request-builder.ts
@@ -6,10 +6,10 @@
 import {type CallRequest} from '../calls/call-request.js';
 import {type Operation} from '../policy/operation.js';
 import {type Policy} from '../policy/policy.js';
+import {encodeBody} from '../calls/encode-body.js';
+import {endToEndHeaders} from '../../platform/http/end-to-end-headers.js';
+import {readBody} from '../../platform/http/read-body.js';
 import {CallerHeader} from './caller-header.js';
-import {encodeBody} from './encode-body.js';
-import {endToEndHeaders} from './end-to-end-headers.js';
-import {readBody} from './read-body.js';
 
 /** A request id, and whether the caller gave it as its key. */
 export type RequestId = {
--- a/src/services/callers/write-answer.ts
+++ b/src/services/calls/write-answer.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {type ServerResponse} from 'node:http';
-import {type CallAnswer} from '../calls/call-answer.js';
+import {type CallAnswer} from './call-answer.js';
 
 /** Such an answer has no body and so no length (RFC 9110, 8.6). */
 const noContentStatus = 204;
