--- a/prove/store/test/store-proof.test.ts
+++ b/prove/store/test/store-proof.test.ts
@@ -26,7 +26,12 @@
 );
 
 test('the check finds a false word on a swap that was sent again', async t => {
-	t.snapshot(await new StoreRun(seed, UnboundedStoreService).run(lostAnswers));
+	const violations = await new StoreRun(seed, UnboundedStoreService).run(lostAnswers);
+	t.true(violations.length > 0);
+	for (const violation of violations) {
+		t.regex(violation, /^value-\d+ was told not written but is in the store's history$/v);
+	}
+
 	t.deepEqual(await new StoreRun(seed, EtcdStoreService).run(lostAnswers), []);
 });
 
--- a/standins/graph/child-program.ts
+++ b/standins/graph/child-program.ts
@@ -6,6 +6,14 @@
 
 const startTimeoutMs = 20_000;
 
+/** Nothing that was started stays behind, even when the harness itself fails. */
+const running = new Set<ChildProcess>();
+process.once('exit', () => {
+	for (const child of running) {
+		child.kill('SIGKILL');
+	}
+});
+
 type Line = Readonly<Record<string, unknown>>;
 
 /** One program under test: its JSON lines, its signals and its end. */
@@ -22,15 +30,10 @@
 	constructor(readonly name: string, args: readonly string[], private readonly isReady: (line: Line) => boolean) {
 		this.onDidPrint = this.printEmitter.event;
 		this.process = spawn(process.execPath, args, {stdio: ['ignore', 'pipe', 'pipe']});
-		// Nothing that was started stays behind, even when the harness itself fails.
-		const end = () => {
-			this.process.kill('SIGKILL');
-		};
-
-		process.once('exit', end);
+		running.add(this.process);
 		this.exited = new Promise(resolve => {
 			this.process.once('close', code => {
-				process.off('exit', end);
+				running.delete(this.process);
 				this.ready.reject(new Error(`${name} ended early with ${code}: ${this.errors.join('\n')}`));
 				resolve(code ?? undefined);
 			});
