Log the end of each request with its id, at debug

Cause: the log had no request ids at all, so that nothing could be followed through it; callers' ids are not to stand above debug. Change: one debug line a request with id, caller, operation, outcome and latency.

--- a/src/services/callers/http-caller-service.ts
+++ b/src/services/callers/http-caller-service.ts
@@ -39,6 +39,13 @@
 const keepAliveTimeoutMs = 75_000;
 const unknownOperation = 'unknown';
 
+type EndedRequest = {
+	readonly id: RequestId | undefined;
+	readonly call: CallRequest | undefined;
+	readonly enteredAtMs: number;
+	readonly outcome: string;
+};
+
 /** Callers' and operators' HTTP/1.1; sends nothing of an answer before it is whole. */
 export class HttpCallerService implements CallerService, Disposable {
 	private readonly router = createRouter({
@@ -117,10 +124,14 @@
 			const answer = await this.run(call, id, response);
 			this.endConnectionIfLeaving(response);
 			writeAnswer(response, answer);
-			this.note(call, enteredAtMs, 'answered');
+			this.note({
+				id, call, enteredAtMs, outcome: 'answered',
+			});
 		} catch (error) {
 			this.fail(response, error, id);
-			this.note(call, enteredAtMs, toWireError(error).kind);
+			this.note({
+				id, call, enteredAtMs, outcome: toWireError(error).kind,
+			});
 		}
 	}
 
@@ -204,10 +215,14 @@
 		}
 	}
 
-	private note(call: CallRequest | undefined, enteredAtMs: number, outcome: string): void {
+	private note({id, call, enteredAtMs, outcome}: EndedRequest): void {
+		const latencyMs = Date.now() - enteredAtMs;
 		const tags = {caller: call?.context.caller ?? unknownOperation, operation: call?.operation ?? unknownOperation};
 		this.metrics.count('requests', {...tags, outcome});
-		this.metrics.record('request_latency', Date.now() - enteredAtMs, tags);
+		this.metrics.record('request_latency', latencyMs, tags);
+		this.log.debug('request ended', {
+			...tags, outcome, latencyMs, requestId: id?.requestId,
+		});
 	}
 }
 
--- a/src/services/callers/test/edge-fixture.ts
+++ b/src/services/callers/test/edge-fixture.ts
@@ -60,10 +60,11 @@
 
 /** The callers' and the backend server's side of one node, with a backend server behind it. */
 export async function startEdge(t: {teardown(release: () => void): void}, listener: (...exchange: Parameters<RequestListener>) => void | Promise<void>) {
+	const log: Array<Readonly<Record<string, unknown>>> = [];
 	const kernel = new Kernel()
 		.registerInstance(SettingsService, new FixedSettingsService(testSettings('edge'), 'incarnation'))
 		.registerInstance(LogService, {
-			debug: quiet, info: quiet, warn: quiet, error: quiet,
+			debug: (message, fields) => log.push({message, ...fields}), info: quiet, warn: quiet, error: quiet,
 		})
 		.register(MetricsService, StatsdMetricsService)
 		.registerInstance(PolicyService, {current: testPolicy, version: 1, onDidChange: new Emitter().event} as unknown as PolicyService)
@@ -96,6 +97,7 @@
 	});
 	return {
 		kernel,
+		log,
 		backend,
 		backendUrl,
 		callers,
--- a/src/services/callers/test/http-caller-service.test.ts
+++ b/src/services/callers/test/http-caller-service.test.ts
@@ -14,6 +14,9 @@
 	const requestId = response.headers.get('kumquatline-request-id');
 	t.is(response.status, 200);
 	t.deepEqual(await response.json(), {method: 'GET', url: '/stock/7?size=2', requestId});
+	t.like(edge.log.at(-1), {
+		message: 'request ended', requestId, operation: 'read-stock', outcome: 'answered',
+	});
 	t.like(edge.requests[0], {operation: 'read-stock', context: {caller: 'foreman', depth: 1, rootOwner: {nodeId: 'edge', incarnation: 'incarnation'}}});
 });
 
