--- a/src/services/admission/execution-window.ts
+++ b/bench/overload/learned-limit/execution-window.ts
@@ -1,4 +1,4 @@
-import {type EndedExecution} from './ended-execution.js';
+import {type EndedExecution} from '../../../src/services/admission/ended-execution.js';
 
 /** Executions that ended within a stretch of time. */
 export class ExecutionWindow {
--- a/src/services/admission/learned-limit-service.ts
+++ b/bench/overload/learned-limit/learned-limit-service.ts
@@ -1,6 +1,6 @@
-import {type EndedExecution} from './ended-execution.js';
+import {type EndedExecution} from '../../../src/services/admission/ended-execution.js';
+import {type LimitService} from '../../../src/services/admission/limit-service.js';
 import {ExecutionWindow} from './execution-window.js';
-import {type LimitService} from './limit-service.js';
 
 type Trial = {
 	readonly limitBefore: number;
--- a/src/services/admission/test/learned-limit-service.test.ts
+++ b/bench/overload/learned-limit/test/learned-limit-service.test.ts
@@ -1,15 +1,15 @@
 import {install, type Clock} from '@sinonjs/fake-timers';
 import test from 'ava';
-import {sleep} from '../../../base/sleep.js';
-import {type OwnTime} from '../admission-service.js';
-import {AnnouncedLimitService} from '../announced-limit-service.js';
+import {sleep} from '../../../../src/base/sleep.js';
+import {type OwnTime} from '../../../../src/services/admission/admission-service.js';
+import {AnnouncedLimitService} from '../../../../src/services/admission/announced-limit-service.js';
 import {LearnedLimitService} from '../learned-limit-service.js';
-import {type LimitService} from '../limit-service.js';
-import {OpenThresholdService} from '../open-threshold-service.js';
-import {QueueAdmissionService} from '../queue-admission-service.js';
-import {makeContext} from './make-context.js';
-import {SilentMetricsService} from './silent-metrics-service.js';
-import {SimulatedBackend} from './simulated-backend.js';
+import {type LimitService} from '../../../../src/services/admission/limit-service.js';
+import {OpenThresholdService} from '../../../../src/services/admission/open-threshold-service.js';
+import {QueueAdmissionService} from '../../../../src/services/admission/queue-admission-service.js';
+import {makeContext} from '../../../../src/services/admission/test/make-context.js';
+import {SilentMetricsService} from '../../../../src/services/admission/test/silent-metrics-service.js';
+import {SimulatedBackend} from '../../../../src/services/admission/test/simulated-backend.js';
 
 const announcedSlots = 16;
 const serviceTimeMs = 50;
--- a/bench/overload/simpler-forms.ts
+++ b/bench/overload/simpler-forms.ts
@@ -1,10 +1,10 @@
 import {type Kernel} from '../../src/platform/kernel/kernel.js';
 import {AnnouncedLimitService} from '../../src/services/admission/announced-limit-service.js';
-import {LearnedLimitService} from '../../src/services/admission/learned-limit-service.js';
 import {LimitService} from '../../src/services/admission/limit-service.js';
 import {OpenThresholdService} from '../../src/services/admission/open-threshold-service.js';
 import {ThresholdService} from '../../src/services/admission/threshold-service.js';
 import {RoutingService} from '../../src/services/routing/routing-service.js';
+import {LearnedLimitService} from './learned-limit/learned-limit-service.js';
 import {LateRefusalRoutingService} from './late-refusal-routing-service.js';
 import {TurnRoutingService} from './turn-routing-service.js';
 
--- a/prove/process/shutdown-run.ts
+++ b/prove/process/shutdown-run.ts
@@ -12,7 +12,7 @@
 /** Load goes on for this long after the last replacement, so that the last hand-over is asked about, too. */
 const tailMs = 500;
 
-/** Under load, stops the node and the backend server of one VM of each service, one VM after the other. */
+/** Under load, stops the node and the backend server of each VM in turn, in an order of the seed's. */
 export class ShutdownRun extends RecordedRun {
 	private readonly stopping = new Set<string>();
 	private finished = false;
@@ -49,10 +49,10 @@
 	}
 
 	private async replaceAll(): Promise<void> {
-		const services = [...new Set(this.graph.plan.nodes.map(({service}) => service))];
-		for (const service of services) {
-			const plans = this.graph.plan.nodes.filter(plan => plan.service === service);
-			await this.replace(this.choices.pick(plans));
+		const left = [...this.graph.plan.nodes];
+		while (left.length > 0) {
+			const [plan] = left.splice(this.choices.between(0, left.length - 1), 1);
+			await this.replace(plan);
 		}
 
 		await delay(tailMs);
