Share the backend server stand-in's flags and the settings of tests

Cause: the harness and the bench's baseline built the same list of flags for the backend server stand-in, and two test fixtures the same settings. Excluded: constructors that ask for services alike and benches' own settings, whose values differ. Change: one function for the flags, the membership fixture takes the peers' settings and names what differs; values and behaviour stay.

--- a/bench/overload/baseline-system.ts
+++ b/bench/overload/baseline-system.ts
@@ -1,13 +1,13 @@
 import {fileURLToPath} from 'node:url';
 import {request} from 'undici';
 import {type ExecutionRecord} from '../../standins/backend-server/execution-record.js';
+import {backendArguments} from '../../standins/graph/backend-arguments.js';
 import {ChildProgram} from '../../standins/graph/child-program.js';
 import {type NodePlan} from '../../standins/graph/graph-plan.js';
 import {type OverloadSetup} from './overload-setup.js';
 import {type SystemUnderTest} from './system-under-test.js';
 
 const forwarderFile = fileURLToPath(new URL('../baseline/main.js', import.meta.url));
-const backendFile = fileURLToPath(new URL('../../standins/backend-server/main.js', import.meta.url));
 
 type Pair = {
 	readonly plan: NodePlan;
@@ -57,24 +57,8 @@
 
 	private async startPair(plan: NodePlan, seed: number): Promise<Pair> {
 		const {callerPort, backendPort} = await this.startProgram(plan.nodeId, [forwarderFile]);
-		const {service, slots, serviceTimeMs, availabilityZone, calls = [], backendFlags = []} = plan;
-		const {port} = await this.startProgram(`${plan.nodeId} backend server`, [
-			backendFile,
-			'--node-backend-url',
-			`http://127.0.0.1:${Number(backendPort)}`,
-			'--service',
-			service,
-			'--slots',
-			String(slots),
-			'--service-time-ms',
-			String(serviceTimeMs),
-			'--zone',
-			availabilityZone,
-			'--seed',
-			String(seed),
-			...calls.flatMap(call => ['--calls', call]),
-			...backendFlags,
-		]);
+		const args = backendArguments(plan, `http://127.0.0.1:${Number(backendPort)}`, seed);
+		const {port} = await this.startProgram(`${plan.nodeId} backend server`, args);
 		return {plan, url: `http://127.0.0.1:${Number(callerPort)}`, backendServerUrl: `http://127.0.0.1:${Number(port)}`};
 	}
 
--- a/src/services/membership/test/membership-fixture.ts
+++ b/src/services/membership/test/membership-fixture.ts
@@ -1,5 +1,6 @@
 import {install, type Clock} from '@sinonjs/fake-timers';
 import {type LogService} from '../../../platform/log/log-service.js';
+import {testSettings as peerSettings} from '../../../platform/peer/test/peer-fixture.js';
 import {type NodeSettings} from '../../../platform/settings/node-settings.js';
 import {type DatagramSocket} from '../datagram-socket.js';
 import {GossipMembershipService} from '../gossip-membership-service.js';
@@ -24,25 +25,10 @@
 
 export function testSettings(nodeId: string, changes: Partial<NodeSettings> = {}): NodeSettings {
 	return {
-		nodeId,
-		address: '127.0.0.1',
-		availabilityZone: 'zone-a',
-		region: 'test',
-		callerPort: 0,
-		backendPort: 0,
-		peerPort: 0,
-		gossipPort: 0,
-		storeUrls: [],
+		...peerSettings(nodeId),
 		leaseTtlMs: 10_000,
 		leaseMarginMs: 1000,
-		clockSkewBoundMs: 100,
-		shutdownTimeoutMs: 5000,
-		probeAfterMs: 100,
-		abandonAfterMs: 100,
 		gossipIntervalMs: 500,
-		seedAddresses: [],
-		logLevel: 'error',
-		statsdAddress: '',
 		seed: 7,
 		...changes,
 	};
--- /dev/null
+++ b/standins/graph/backend-arguments.ts
@@ -0,0 +1,26 @@
+import {fileURLToPath} from 'node:url';
+import {type NodePlan} from './graph-plan.js';
+
+const backendFile = fileURLToPath(new URL('../backend-server/main.js', import.meta.url));
+
+/** Program file and flags of the backend server stand-in of a plan, beside the node at `nodeBackendUrl`. */
+export function backendArguments(plan: NodePlan, nodeBackendUrl: string, seed: number): string[] {
+	const {service, slots, serviceTimeMs, availabilityZone, calls = [], backendFlags = []} = plan;
+	return [
+		backendFile,
+		'--node-backend-url',
+		nodeBackendUrl,
+		'--service',
+		service,
+		'--slots',
+		String(slots),
+		'--service-time-ms',
+		String(serviceTimeMs),
+		'--zone',
+		availabilityZone,
+		'--seed',
+		String(seed),
+		...calls.flatMap(call => ['--calls', call]),
+		...backendFlags,
+	];
+}
--- a/standins/graph/node-program.ts
+++ b/standins/graph/node-program.ts
@@ -1,11 +1,11 @@
 import {fileURLToPath} from 'node:url';
 import {Emitter} from '../../src/base/emitter.js';
 import {type ExecutionRecord} from '../backend-server/execution-record.js';
+import {backendArguments} from './backend-arguments.js';
 import {ChildProgram} from './child-program.js';
 import {type NodePlan} from './graph-plan.js';
 
 const nodeFile = fileURLToPath(new URL('../../../dist/kumquatline-node', import.meta.url));
-const backendFile = fileURLToPath(new URL('../backend-server/main.js', import.meta.url));
 
 type Ports = {
 	readonly callerPort: number;
@@ -66,24 +66,8 @@
 	}
 
 	async startBackend(): Promise<void> {
-		const {service, slots, serviceTimeMs, availabilityZone, nodeId, calls = [], backendFlags = []} = this.plan;
-		const args = [
-			'--node-backend-url',
-			`http://127.0.0.1:${this.ports.backendPort}`,
-			'--service',
-			service,
-			'--slots',
-			String(slots),
-			'--service-time-ms',
-			String(serviceTimeMs),
-			'--zone',
-			availabilityZone,
-			'--seed',
-			String(this.seed),
-			...calls.flatMap(call => ['--calls', call]),
-			...backendFlags,
-		];
-		this.backend = new ChildProgram(`${nodeId} backend server`, [backendFile, ...args], line => line.ready === true);
+		const args = backendArguments(this.plan, `http://127.0.0.1:${this.ports.backendPort}`, this.seed);
+		this.backend = new ChildProgram(`${this.plan.nodeId} backend server`, args, line => line.ready === true);
 		this.backend.onDidPrint(line => {
 			if (line.execution) {
 				this.recordEmitter.fire(line.execution as ExecutionRecord);
