--- a/bench/added-latency/floor-entry.ts
+++ b/bench/added-latency/floor-entry.ts
@@ -5,8 +5,8 @@
 import {connect, type AddressInfo} from 'node:net';
 import process from 'node:process';
 import {buffer} from 'node:stream/consumers';
-import {encodeFrame} from '../../src/platform/peer/encode-frame.js';
-import {FrameDecoder} from '../../src/platform/peer/frame-decoder.js';
+import {encodeFrame} from '../../src/runtime/peer/encode-frame.js';
+import {FrameDecoder} from '../../src/runtime/peer/frame-decoder.js';
 import {type FloorMessage} from './floor-message.js';
 
 const maxFrameBytes = 4_194_304;
--- a/bench/added-latency/floor-upstream.ts
+++ b/bench/added-latency/floor-upstream.ts
@@ -4,8 +4,8 @@
 import {createServer, type AddressInfo, type Socket} from 'node:net';
 import process from 'node:process';
 import {Pool} from 'undici';
-import {encodeFrame} from '../../src/platform/peer/encode-frame.js';
-import {FrameDecoder} from '../../src/platform/peer/frame-decoder.js';
+import {encodeFrame} from '../../src/runtime/peer/encode-frame.js';
+import {FrameDecoder} from '../../src/runtime/peer/frame-decoder.js';
 import {type FloorMessage} from './floor-message.js';
 
 const maxFrameBytes = 4_194_304;
--- a/bench/overload/late-refusal-routing-service.ts
+++ b/bench/overload/late-refusal-routing-service.ts
@@ -1,4 +1,4 @@
-import {SettingsService} from '../../src/platform/settings/settings-service.js';
+import {SettingsService} from '../../src/runtime/settings/settings-service.js';
 import {MembershipService} from '../../src/services/membership/membership-service.js';
 import {PolicyService} from '../../src/services/policy/policy-service.js';
 import {PolicyRoutingService} from '../../src/services/routing/policy-routing-service.js';
--- a/bench/overload/simpler-forms.ts
+++ b/bench/overload/simpler-forms.ts
@@ -1,4 +1,4 @@
-import {type Kernel} from '../../src/platform/kernel/kernel.js';
+import {type Kernel} from '../../src/runtime/kernel/kernel.js';
 import {AnnouncedLimitService} from '../../src/services/admission/announced-limit-service.js';
 import {LimitService} from '../../src/services/admission/limit-service.js';
 import {OpenThresholdService} from '../../src/services/admission/open-threshold-service.js';
--- a/bench/overload/turn-routing-service.ts
+++ b/bench/overload/turn-routing-service.ts
@@ -1,4 +1,4 @@
-import {SettingsService} from '../../src/platform/settings/settings-service.js';
+import {SettingsService} from '../../src/runtime/settings/settings-service.js';
 import {type Member} from '../../src/services/membership/member.js';
 import {MembershipService} from '../../src/services/membership/membership-service.js';
 import {PolicyService} from '../../src/services/policy/policy-service.js';
--- a/bench/slopes/bench-settings.ts
+++ b/bench/slopes/bench-settings.ts
@@ -1,4 +1,4 @@
-import {type NodeSettings} from '../../src/platform/settings/node-settings.js';
+import {type NodeSettings} from '../../src/runtime/settings/node-settings.js';
 
 /** Settings of a node in a bench: loopback, every port chosen by the operating system. */
 export function benchSettings(nodeId: string, changes: Partial<NodeSettings> = {}): NodeSettings {
--- a/bench/slopes/create-peer.ts
+++ b/bench/slopes/create-peer.ts
@@ -1,12 +1,12 @@
-import {Kernel} from '../../src/platform/kernel/kernel.js';
-import {LogService} from '../../src/platform/log/log-service.js';
-import {WinstonLogService} from '../../src/platform/log/winston-log-service.js';
-import {MetricsService} from '../../src/platform/metrics/metrics-service.js';
-import {StatsdMetricsService} from '../../src/platform/metrics/statsd-metrics-service.js';
-import {FramedPeerService} from '../../src/platform/peer/framed-peer-service.js';
-import {PeerService} from '../../src/platform/peer/peer-service.js';
-import {FixedSettingsService} from '../../src/platform/settings/fixed-settings-service.js';
-import {SettingsService} from '../../src/platform/settings/settings-service.js';
+import {Kernel} from '../../src/runtime/kernel/kernel.js';
+import {LogService} from '../../src/runtime/log/log-service.js';
+import {WinstonLogService} from '../../src/runtime/log/winston-log-service.js';
+import {MetricsService} from '../../src/runtime/metrics/metrics-service.js';
+import {StatsdMetricsService} from '../../src/runtime/metrics/statsd-metrics-service.js';
+import {FramedPeerService} from '../../src/runtime/peer/framed-peer-service.js';
+import {PeerService} from '../../src/runtime/peer/peer-service.js';
+import {FixedSettingsService} from '../../src/runtime/settings/fixed-settings-service.js';
+import {SettingsService} from '../../src/runtime/settings/settings-service.js';
 import {benchSettings} from './bench-settings.js';
 
 /** A node's connections to its peers, without the rest of it. */
--- a/bench/slopes/state-worker.ts
+++ b/bench/slopes/state-worker.ts
@@ -1,9 +1,9 @@
 // A process of its own, for a clean heap: prints what an idempotency entry, a connection and a call between nodes cost.
 import process from 'node:process';
 import {v7 as uuidv7} from 'uuid';
-import {type PeerAddress} from '../../src/platform/peer/peer-address.js';
-import {PeerMethod} from '../../src/platform/peer/peer-method.js';
-import {type PeerService} from '../../src/platform/peer/peer-service.js';
+import {type PeerAddress} from '../../src/runtime/peer/peer-address.js';
+import {PeerMethod} from '../../src/runtime/peer/peer-method.js';
+import {type PeerService} from '../../src/runtime/peer/peer-service.js';
 import {EntryState} from '../../src/services/ownership/entry-state.js';
 import {IdempotencyTable} from '../../src/services/ownership/idempotency-table.js';
 import {createPeer} from './create-peer.js';
--- a/bench/store-calls/quiet-node.ts
+++ b/bench/store-calls/quiet-node.ts
@@ -1,8 +1,8 @@
 import {type Disposable} from '../../src/base/disposable.js';
-import {type Kernel} from '../../src/platform/kernel/kernel.js';
-import {LogService} from '../../src/platform/log/log-service.js';
-import {PeerService} from '../../src/platform/peer/peer-service.js';
-import {type NodeSettings} from '../../src/platform/settings/node-settings.js';
+import {type Kernel} from '../../src/runtime/kernel/kernel.js';
+import {LogService} from '../../src/runtime/log/log-service.js';
+import {PeerService} from '../../src/runtime/peer/peer-service.js';
+import {type NodeSettings} from '../../src/runtime/settings/node-settings.js';
 import {createKernel} from '../../src/programs/node/create-kernel.js';
 import {MembershipService} from '../../src/services/membership/membership-service.js';
 import {PolicyService} from '../../src/services/policy/policy-service.js';
--- a/prove/answers/answer-run.ts
+++ b/prove/answers/answer-run.ts
@@ -2,7 +2,7 @@
 import {Agent, request as sendRequest} from 'undici';
 import {type Disposable} from '../../src/base/disposable.js';
 import {type Execution} from '../../src/base/execution.js';
-import {type PeerService} from '../../src/platform/peer/peer-service.js';
+import {type PeerService} from '../../src/runtime/peer/peer-service.js';
 import {policyDocument} from '../../src/services/policy/policy-document.js';
 import {RelayFault} from '../../standins/relay/relay-fault.js';
 import {EventKind} from '../history/event-kind.js';
--- a/prove/answers/relayed-node.ts
+++ b/prove/answers/relayed-node.ts
@@ -1,10 +1,10 @@
 import {type Disposable} from '../../src/base/disposable.js';
 import {DisposableStore} from '../../src/base/disposable-store.js';
 import {Emitter} from '../../src/base/emitter.js';
-import {type Kernel} from '../../src/platform/kernel/kernel.js';
-import {LogService} from '../../src/platform/log/log-service.js';
-import {PeerService} from '../../src/platform/peer/peer-service.js';
-import {testSettings} from '../../src/platform/peer/test/peer-fixture.js';
+import {type Kernel} from '../../src/runtime/kernel/kernel.js';
+import {LogService} from '../../src/runtime/log/log-service.js';
+import {PeerService} from '../../src/runtime/peer/peer-service.js';
+import {testSettings} from '../../src/runtime/peer/test/peer-fixture.js';
 import {createKernel} from '../../src/programs/node/create-kernel.js';
 import {AdmissionService} from '../../src/services/admission/admission-service.js';
 import {AnnouncedLimitService} from '../../src/services/admission/announced-limit-service.js';
--- a/prove/answers/silent-connections-proof.ts
+++ b/prove/answers/silent-connections-proof.ts
@@ -1,5 +1,5 @@
-import {FramedPeerService} from '../../src/platform/peer/framed-peer-service.js';
-import {testSettings} from '../../src/platform/peer/test/peer-fixture.js';
+import {FramedPeerService} from '../../src/runtime/peer/framed-peer-service.js';
+import {testSettings} from '../../src/runtime/peer/test/peer-fixture.js';
 import {RelayFault} from '../../standins/relay/relay-fault.js';
 import {findForeignAnswers} from '../history/find-foreign-answers.js';
 import {findRepeatedExecutions} from '../history/find-repeated-executions.js';
--- a/prove/answers/single-execution-ownership-service.ts
+++ b/prove/answers/single-execution-ownership-service.ts
@@ -1,4 +1,4 @@
-import {type PeerAddress} from '../../src/platform/peer/peer-address.js';
+import {type PeerAddress} from '../../src/runtime/peer/peer-address.js';
 import {type CallAnswer} from '../../src/services/calls/call-answer.js';
 import {type CallRequest} from '../../src/services/calls/call-request.js';
 import {UpstreamService} from '../../src/services/calls/upstream-service.js';
--- a/prove/answers/whole-answers-proof.ts
+++ b/prove/answers/whole-answers-proof.ts
@@ -1,4 +1,4 @@
-import {FramedPeerService} from '../../src/platform/peer/framed-peer-service.js';
+import {FramedPeerService} from '../../src/runtime/peer/framed-peer-service.js';
 import {RelayFault} from '../../standins/relay/relay-fault.js';
 import {findFalseRefusals} from '../history/find-false-refusals.js';
 import {findForeignAnswers} from '../history/find-foreign-answers.js';
--- a/prove/main.ts
+++ b/prove/main.ts
@@ -3,7 +3,7 @@
 import {
 	command, flag, option, optional, runSafely, string,
 } from 'cmd-ts';
-import {boundedInteger} from '../src/platform/settings/bounded-integer.js';
+import {boundedInteger} from '../src/runtime/settings/bounded-integer.js';
 import {ProofVariant} from './proof-variant.js';
 import {proofs} from './proofs.js';
 import {runProof} from './run-proof.js';
--- a/prove/naive/health-believing-backend-service.ts
+++ b/prove/naive/health-believing-backend-service.ts
@@ -1,4 +1,4 @@
-import {serviceDependencies} from '../../src/platform/kernel/service-dependencies.js';
+import {serviceDependencies} from '../../src/runtime/kernel/service-dependencies.js';
 import {LoopbackBackendService} from '../../src/services/backend/loopback-backend-service.js';
 import {type BackendAnnouncement} from '../../src/services/membership/backend-announcement.js';
 import {type Event} from '../../src/base/event.js';
--- a/prove/naive/impatient-peer-service.ts
+++ b/prove/naive/impatient-peer-service.ts
@@ -1,12 +1,12 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {v7 as createUuid} from 'uuid';
-import {LogService} from '../../src/platform/log/log-service.js';
-import {MetricsService} from '../../src/platform/metrics/metrics-service.js';
-import {FramedPeerService} from '../../src/platform/peer/framed-peer-service.js';
-import {type PeerAddress} from '../../src/platform/peer/peer-address.js';
-import {type PeerMethod} from '../../src/platform/peer/peer-method.js';
-import {type PeerCallOptions} from '../../src/platform/peer/peer-service.js';
-import {SettingsService} from '../../src/platform/settings/settings-service.js';
+import {LogService} from '../../src/runtime/log/log-service.js';
+import {MetricsService} from '../../src/runtime/metrics/metrics-service.js';
+import {FramedPeerService} from '../../src/runtime/peer/framed-peer-service.js';
+import {type PeerAddress} from '../../src/runtime/peer/peer-address.js';
+import {type PeerMethod} from '../../src/runtime/peer/peer-method.js';
+import {type PeerCallOptions} from '../../src/runtime/peer/peer-service.js';
+import {SettingsService} from '../../src/runtime/settings/settings-service.js';
 
 const patienceMs = 100;
 
--- a/prove/naive/ordered-peer-service.ts
+++ b/prove/naive/ordered-peer-service.ts
@@ -10,12 +10,12 @@
 import {toDisposable} from '../../src/base/to-disposable.js';
 import {toWireError} from '../../src/base/to-wire-error.js';
 import {type WireError} from '../../src/base/wire-error.js';
-import {encodeFrame} from '../../src/platform/peer/encode-frame.js';
-import {FrameDecoder} from '../../src/platform/peer/frame-decoder.js';
-import {type PeerAddress} from '../../src/platform/peer/peer-address.js';
-import {type PeerMethod} from '../../src/platform/peer/peer-method.js';
-import {type PeerCall, type PeerCallOptions, type PeerService} from '../../src/platform/peer/peer-service.js';
-import {SettingsService} from '../../src/platform/settings/settings-service.js';
+import {encodeFrame} from '../../src/runtime/peer/encode-frame.js';
+import {FrameDecoder} from '../../src/runtime/peer/frame-decoder.js';
+import {type PeerAddress} from '../../src/runtime/peer/peer-address.js';
+import {type PeerMethod} from '../../src/runtime/peer/peer-method.js';
+import {type PeerCall, type PeerCallOptions, type PeerService} from '../../src/runtime/peer/peer-service.js';
+import {SettingsService} from '../../src/runtime/settings/settings-service.js';
 
 type Handler = (params: unknown, call: PeerCall) => Promise<unknown>;
 type Request = {readonly method: string; readonly params: unknown};
--- a/prove/naive/unbounded-store-service.ts
+++ b/prove/naive/unbounded-store-service.ts
@@ -1,8 +1,8 @@
 import {type Disposable} from '../../src/base/disposable.js';
-import {FixedSettingsService} from '../../src/platform/settings/fixed-settings-service.js';
-import {SettingsService} from '../../src/platform/settings/settings-service.js';
-import {EtcdStoreService} from '../../src/platform/store/etcd-store-service.js';
-import {type StoreChange, type SwapResult} from '../../src/platform/store/store-service.js';
+import {FixedSettingsService} from '../../src/runtime/settings/fixed-settings-service.js';
+import {SettingsService} from '../../src/runtime/settings/settings-service.js';
+import {EtcdStoreService} from '../../src/runtime/store/etcd-store-service.js';
+import {type StoreChange, type SwapResult} from '../../src/runtime/store/store-service.js';
 
 const endlessMs = 3_600_000;
 const maxTries = 3;
--- a/prove/naive/unprobed-peer-service.ts
+++ b/prove/naive/unprobed-peer-service.ts
@@ -1,7 +1,7 @@
-import {LogService} from '../../src/platform/log/log-service.js';
-import {MetricsService} from '../../src/platform/metrics/metrics-service.js';
-import {FramedPeerService} from '../../src/platform/peer/framed-peer-service.js';
-import {SettingsService} from '../../src/platform/settings/settings-service.js';
+import {LogService} from '../../src/runtime/log/log-service.js';
+import {MetricsService} from '../../src/runtime/metrics/metrics-service.js';
+import {FramedPeerService} from '../../src/runtime/peer/framed-peer-service.js';
+import {SettingsService} from '../../src/runtime/settings/settings-service.js';
 
 const neverMs = 3_600_000;
 
--- a/prove/store/store-proof.ts
+++ b/prove/store/store-proof.ts
@@ -1,4 +1,4 @@
-import {EtcdStoreService} from '../../src/platform/store/etcd-store-service.js';
+import {EtcdStoreService} from '../../src/runtime/store/etcd-store-service.js';
 import {UnboundedStoreService} from '../naive/unbounded-store-service.js';
 import {type Proof} from '../proof.js';
 import {type ProofReport} from '../proof-report.js';
--- a/prove/store/store-run.ts
+++ b/prove/store/store-run.ts
@@ -1,9 +1,9 @@
 import {setTimeout as sleep} from 'node:timers/promises';
-import {Kernel} from '../../src/platform/kernel/kernel.js';
-import {FixedSettingsService} from '../../src/platform/settings/fixed-settings-service.js';
-import {type NodeSettings} from '../../src/platform/settings/node-settings.js';
-import {SettingsService} from '../../src/platform/settings/settings-service.js';
-import {StoreService} from '../../src/platform/store/store-service.js';
+import {Kernel} from '../../src/runtime/kernel/kernel.js';
+import {FixedSettingsService} from '../../src/runtime/settings/fixed-settings-service.js';
+import {type NodeSettings} from '../../src/runtime/settings/node-settings.js';
+import {SettingsService} from '../../src/runtime/settings/settings-service.js';
+import {StoreService} from '../../src/runtime/store/store-service.js';
 import {StoreStandIn} from '../../standins/store/store-stand-in.js';
 import {checkStoreHistory} from './check-store-history.js';
 import {type StoreCall} from './store-call.js';
--- a/prove/store/test/store-proof.test.ts
+++ b/prove/store/test/store-proof.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {EtcdStoreService} from '../../../src/platform/store/etcd-store-service.js';
+import {EtcdStoreService} from '../../../src/runtime/store/etcd-store-service.js';
 import {UnboundedStoreService} from '../../naive/unbounded-store-service.js';
 import {StoreRun} from '../store-run.js';
 import {type StoreStep} from '../store-step.js';
--- a/prove/zones/create-cuttable-kernel.ts
+++ b/prove/zones/create-cuttable-kernel.ts
@@ -1,6 +1,6 @@
-import {type Kernel} from '../../src/platform/kernel/kernel.js';
-import {PeerService} from '../../src/platform/peer/peer-service.js';
-import {type NodeSettings} from '../../src/platform/settings/node-settings.js';
+import {type Kernel} from '../../src/runtime/kernel/kernel.js';
+import {PeerService} from '../../src/runtime/peer/peer-service.js';
+import {type NodeSettings} from '../../src/runtime/settings/node-settings.js';
 import {createKernel} from '../../src/programs/node/create-kernel.js';
 import {LeaseService} from '../../src/services/membership/lease-service.js';
 import {MembershipService} from '../../src/services/membership/membership-service.js';
--- a/prove/zones/cuttable-membership-service.ts
+++ b/prove/zones/cuttable-membership-service.ts
@@ -1,4 +1,4 @@
-import {serviceDependencies} from '../../src/platform/kernel/service-dependencies.js';
+import {serviceDependencies} from '../../src/runtime/kernel/service-dependencies.js';
 import {type DatagramSocket} from '../../src/services/membership/datagram-socket.js';
 import {type GossipAddress} from '../../src/services/membership/gossip-address.js';
 import {GossipMembershipService} from '../../src/services/membership/gossip-membership-service.js';
--- a/prove/zones/cuttable-peer-service.ts
+++ b/prove/zones/cuttable-peer-service.ts
@@ -1,11 +1,11 @@
 import {ErrorKind} from '../../src/base/error-kind.js';
 import {KumquatlineError} from '../../src/base/kumquatline-error.js';
 import {sleep} from '../../src/base/sleep.js';
-import {serviceDependencies} from '../../src/platform/kernel/service-dependencies.js';
-import {FramedPeerService} from '../../src/platform/peer/framed-peer-service.js';
-import {type PeerAddress} from '../../src/platform/peer/peer-address.js';
-import {type PeerMethod} from '../../src/platform/peer/peer-method.js';
-import {type PeerCallOptions} from '../../src/platform/peer/peer-service.js';
+import {serviceDependencies} from '../../src/runtime/kernel/service-dependencies.js';
+import {FramedPeerService} from '../../src/runtime/peer/framed-peer-service.js';
+import {type PeerAddress} from '../../src/runtime/peer/peer-address.js';
+import {type PeerMethod} from '../../src/runtime/peer/peer-method.js';
+import {type PeerCallOptions} from '../../src/runtime/peer/peer-service.js';
 import {type ZoneCut} from './zone-cut.js';
 
 /** Silence after which a call into a cut-off zone is given up. */
--- a/prove/zones/store-bound-membership-service.ts
+++ b/prove/zones/store-bound-membership-service.ts
@@ -1,4 +1,4 @@
-import {serviceDependencies} from '../../src/platform/kernel/service-dependencies.js';
+import {serviceDependencies} from '../../src/runtime/kernel/service-dependencies.js';
 import {type Member} from '../../src/services/membership/member.js';
 import {CuttableMembershipService} from './cuttable-membership-service.js';
 
--- a/src/programs/cli/common-arguments.ts
+++ b/src/programs/cli/common-arguments.ts
@@ -1,5 +1,5 @@
 import {flag, option} from 'cmd-ts';
-import {boundedInteger} from '../../platform/settings/bounded-integer.js';
+import {boundedInteger} from '../../runtime/settings/bounded-integer.js';
 import {nodeUrl} from './node-url.js';
 
 const maxTimeoutMs = 600_000;
--- a/src/programs/cli/policy-wait-command.ts
+++ b/src/programs/cli/policy-wait-command.ts
@@ -1,7 +1,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {command, positional} from 'cmd-ts';
 import {type z} from 'zod';
-import {boundedInteger} from '../../platform/settings/bounded-integer.js';
+import {boundedInteger} from '../../runtime/settings/bounded-integer.js';
 import {CliError} from './cli-error.js';
 import {commonArguments} from './common-arguments.js';
 import {ExitStatus} from './exit-status.js';
--- a/src/programs/node/node.ts
+++ b/src/programs/node/node.ts
@@ -1,10 +1,10 @@
 import {once} from 'node:events';
 import {type Disposable} from '../../base/disposable.js';
 import {DisposableStore} from '../../base/disposable-store.js';
-import {type Kernel} from '../../platform/kernel/kernel.js';
-import {LogService} from '../../platform/log/log-service.js';
-import {PeerService} from '../../platform/peer/peer-service.js';
-import {SettingsService} from '../../platform/settings/settings-service.js';
+import {type Kernel} from '../../runtime/kernel/kernel.js';
+import {LogService} from '../../runtime/log/log-service.js';
+import {PeerService} from '../../runtime/peer/peer-service.js';
+import {SettingsService} from '../../runtime/settings/settings-service.js';
 import {AdmissionService} from '../../services/admission/admission-service.js';
 import {BackendService} from '../../services/backend/backend-service.js';
 import {CallerService} from '../../services/callers/caller-service.js';
--- a/src/programs/node/run-node-program.ts
+++ b/src/programs/node/run-node-program.ts
@@ -1,9 +1,9 @@
 import process from 'node:process';
 import {command, runSafely} from 'cmd-ts';
-import {type Kernel} from '../../platform/kernel/kernel.js';
-import {checkSettings} from '../../platform/settings/check-settings.js';
-import {type NodeSettings} from '../../platform/settings/node-settings.js';
-import {settingArguments} from '../../platform/settings/setting-arguments.js';
+import {type Kernel} from '../../runtime/kernel/kernel.js';
+import {checkSettings} from '../../runtime/settings/check-settings.js';
+import {type NodeSettings} from '../../runtime/settings/node-settings.js';
+import {settingArguments} from '../../runtime/settings/setting-arguments.js';
 import {ExitStatus} from './exit-status.js';
 import {Node} from './node.js';
 import {version} from './version.js';
--- a/src/services/admission/limit-service.ts
+++ b/src/services/admission/limit-service.ts
@@ -1,4 +1,4 @@
-import {createServiceId} from '../../platform/kernel/create-service-id.js';
+import {createServiceId} from '../../runtime/kernel/create-service-id.js';
 import {type EndedExecution} from './ended-execution.js';
 
 /** Decides how much the backend server runs at once. */
--- a/src/services/admission/queue-admission-service.ts
+++ b/src/services/admission/queue-admission-service.ts
@@ -2,7 +2,7 @@
 import {ErrorKind} from '../../base/error-kind.js';
 import {Execution} from '../../base/execution.js';
 import {KumquatlineError} from '../../base/kumquatline-error.js';
-import {MetricsService} from '../../platform/metrics/metrics-service.js';
+import {MetricsService} from '../../runtime/metrics/metrics-service.js';
 import {type CallContext} from '../calls/call-context.js';
 import {type AdmissionService, type AdmittedWork} from './admission-service.js';
 import {admitsAt} from './admits-at.js';
--- a/src/services/admission/test/silent-metrics-service.ts
+++ b/src/services/admission/test/silent-metrics-service.ts
@@ -1,4 +1,4 @@
-import {type MetricsService} from '../../../platform/metrics/metrics-service.js';
+import {type MetricsService} from '../../../runtime/metrics/metrics-service.js';
 
 /** Metrics that are thrown away. */
 export class SilentMetricsService implements MetricsService {
--- a/src/services/admission/threshold-service.ts
+++ b/src/services/admission/threshold-service.ts
@@ -1,4 +1,4 @@
-import {createServiceId} from '../../platform/kernel/create-service-id.js';
+import {createServiceId} from '../../runtime/kernel/create-service-id.js';
 import {type QueueState} from './queue-state.js';
 
 /** Decides how important work must be to be queued. */
--- a/src/services/backend/backend-client.ts
+++ b/src/services/backend/backend-client.ts
@@ -4,7 +4,7 @@
 import {ErrorKind} from '../../base/error-kind.js';
 import {KumquatlineError} from '../../base/kumquatline-error.js';
 import {encodeBody} from '../calls/encode-body.js';
-import {endToEndHeaders} from '../../platform/http/end-to-end-headers.js';
+import {endToEndHeaders} from '../../runtime/http/end-to-end-headers.js';
 import {type CallAnswer} from '../calls/call-answer.js';
 import {type CallRequest} from '../calls/call-request.js';
 import {type BackendAnnouncement} from '../membership/backend-announcement.js';
--- a/src/services/backend/backend-service.ts
+++ b/src/services/backend/backend-service.ts
@@ -1,6 +1,6 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Event} from '../../base/event.js';
-import {createServiceId} from '../../platform/kernel/create-service-id.js';
+import {createServiceId} from '../../runtime/kernel/create-service-id.js';
 import {type CallAnswer} from '../calls/call-answer.js';
 import {type CallRequest} from '../calls/call-request.js';
 import {type OwnTime} from '../admission/admission-service.js';
--- a/src/services/backend/sub-call-server.ts
+++ b/src/services/backend/sub-call-server.ts
@@ -1,9 +1,9 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {ErrorKind} from '../../base/error-kind.js';
 import {KumquatlineError} from '../../base/kumquatline-error.js';
-import {readBody} from '../../platform/http/read-body.js';
+import {readBody} from '../../runtime/http/read-body.js';
 import {writeAnswer} from '../calls/write-answer.js';
-import {writeProblem} from '../../platform/http/write-problem.js';
+import {writeProblem} from '../../runtime/http/write-problem.js';
 import {type CallAnswer} from '../calls/call-answer.js';
 import {type CallRequest} from '../calls/call-request.js';
 import {type PolicyService} from '../policy/policy-service.js';
--- a/src/services/backend/to-sub-call.ts
+++ b/src/services/backend/to-sub-call.ts
@@ -1,6 +1,6 @@
 import {type IncomingMessage} from 'node:http';
 import {encodeBody} from '../calls/encode-body.js';
-import {endToEndHeaders} from '../../platform/http/end-to-end-headers.js';
+import {endToEndHeaders} from '../../runtime/http/end-to-end-headers.js';
 import {type CallRequest} from '../calls/call-request.js';
 import {type Operation} from '../policy/operation.js';
 import {type RunningCall} from './running-call.js';
--- a/src/services/callers/caller-service.ts
+++ b/src/services/callers/caller-service.ts
@@ -1,4 +1,4 @@
-import {createServiceId} from '../../platform/kernel/create-service-id.js';
+import {createServiceId} from '../../runtime/kernel/create-service-id.js';
 
 /** The HTTP port for callers and operators. */
 export interface CallerService {
--- a/src/services/callers/request-builder.ts
+++ b/src/services/callers/request-builder.ts
@@ -2,13 +2,13 @@
 import {createUuid} from '../../base/create-uuid.js';
 import {ErrorKind} from '../../base/error-kind.js';
 import {KumquatlineError} from '../../base/kumquatline-error.js';
-import {type SettingsService} from '../../platform/settings/settings-service.js';
+import {type SettingsService} from '../../runtime/settings/settings-service.js';
 import {type CallRequest} from '../calls/call-request.js';
 import {type Operation} from '../policy/operation.js';
 import {type Policy} from '../policy/policy.js';
 import {encodeBody} from '../calls/encode-body.js';
-import {endToEndHeaders} from '../../platform/http/end-to-end-headers.js';
-import {readBody} from '../../platform/http/read-body.js';
+import {endToEndHeaders} from '../../runtime/http/end-to-end-headers.js';
+import {readBody} from '../../runtime/http/read-body.js';
 import {CallerHeader} from './caller-header.js';
 
 /** A request id, and whether the caller gave it as its key. */
--- a/src/services/callers/status-report.ts
+++ b/src/services/callers/status-report.ts
@@ -1,5 +1,5 @@
-import {MetricsService} from '../../platform/metrics/metrics-service.js';
-import {StoreService} from '../../platform/store/store-service.js';
+import {MetricsService} from '../../runtime/metrics/metrics-service.js';
+import {StoreService} from '../../runtime/store/store-service.js';
 import {AdmissionService} from '../admission/admission-service.js';
 import {MembershipService} from '../membership/membership-service.js';
 import {OwnershipService} from '../ownership/ownership-service.js';
--- a/src/services/callers/status-service.ts
+++ b/src/services/callers/status-service.ts
@@ -1,4 +1,4 @@
-import {createServiceId} from '../../platform/kernel/create-service-id.js';
+import {createServiceId} from '../../runtime/kernel/create-service-id.js';
 
 /** What a node tells operators of itself, as a JSON document. */
 export interface StatusService {
--- a/src/services/calls/call-service.ts
+++ b/src/services/calls/call-service.ts
@@ -1,4 +1,4 @@
-import {createServiceId} from '../../platform/kernel/create-service-id.js';
+import {createServiceId} from '../../runtime/kernel/create-service-id.js';
 import {type CallAnswer} from './call-answer.js';
 import {type CallRequest} from './call-request.js';
 
--- a/src/services/calls/graph-call-service.ts
+++ b/src/services/calls/graph-call-service.ts
@@ -1,7 +1,7 @@
 import {createUuid} from '../../base/create-uuid.js';
 import {ErrorKind} from '../../base/error-kind.js';
 import {KumquatlineError} from '../../base/kumquatline-error.js';
-import {MetricsService} from '../../platform/metrics/metrics-service.js';
+import {MetricsService} from '../../runtime/metrics/metrics-service.js';
 import {OwnershipService} from '../ownership/ownership-service.js';
 import {RetryService} from '../retries/retry-service.js';
 import {type CallAnswer} from './call-answer.js';
--- a/src/services/calls/routed-upstream-service.ts
+++ b/src/services/calls/routed-upstream-service.ts
@@ -2,7 +2,7 @@
 import {Execution} from '../../base/execution.js';
 import {fromWireError} from '../../base/from-wire-error.js';
 import {KumquatlineError} from '../../base/kumquatline-error.js';
-import {PeerService} from '../../platform/peer/peer-service.js';
+import {PeerService} from '../../runtime/peer/peer-service.js';
 import {type UpstreamLoad} from '../admission/upstream-load.js';
 import {type Member} from '../membership/member.js';
 import {RoutingService} from '../routing/routing-service.js';
--- a/src/services/membership/failure-detector.ts
+++ b/src/services/membership/failure-detector.ts
@@ -1,7 +1,7 @@
 import {type Disposable} from '../../base/disposable.js';
 import {DisposableStore} from '../../base/disposable-store.js';
 import {Waiter} from '../../base/waiter.js';
-import {type MetricsService} from '../../platform/metrics/metrics-service.js';
+import {type MetricsService} from '../../runtime/metrics/metrics-service.js';
 import {type GossipAddress} from './gossip-address.js';
 import {type GossipChannel} from './gossip-channel.js';
 import {type Gossiper} from './gossiper.js';
--- a/src/services/membership/gossip-channel.ts
+++ b/src/services/membership/gossip-channel.ts
@@ -2,7 +2,7 @@
 import {type Disposable} from '../../base/disposable.js';
 import {DisposableStore} from '../../base/disposable-store.js';
 import {Emitter} from '../../base/emitter.js';
-import {type MetricsService} from '../../platform/metrics/metrics-service.js';
+import {type MetricsService} from '../../runtime/metrics/metrics-service.js';
 import {BroadcastQueue} from './broadcast-queue.js';
 import {ByteBudget} from './byte-budget.js';
 import {type Datagram, type DatagramSocket} from './datagram-socket.js';
--- a/src/services/membership/lease-service.ts
+++ b/src/services/membership/lease-service.ts
@@ -1,5 +1,5 @@
 import {type Event} from '../../base/event.js';
-import {createServiceId} from '../../platform/kernel/create-service-id.js';
+import {createServiceId} from '../../runtime/kernel/create-service-id.js';
 
 /** The key that a node keeps in the store under its lease. */
 export type Registration = {
--- a/src/services/membership/member.ts
+++ b/src/services/membership/member.ts
@@ -1,4 +1,4 @@
-import {type PeerAddress} from '../../platform/peer/peer-address.js';
+import {type PeerAddress} from '../../runtime/peer/peer-address.js';
 import {type MemberState} from './member-state.js';
 
 /** One run of a node as membership knows it. */
--- a/src/services/membership/peer-join.ts
+++ b/src/services/membership/peer-join.ts
@@ -1,6 +1,6 @@
 import {z} from 'zod';
 import {type Disposable} from '../../base/disposable.js';
-import {type PeerService} from '../../platform/peer/peer-service.js';
+import {type PeerService} from '../../runtime/peer/peer-service.js';
 import {type GossipChannel} from './gossip-channel.js';
 import {type GossipHost} from './gossip-host.js';
 import {GossipMessageKind} from './gossip-message-kind.js';
--- a/src/services/membership/registration-reader.ts
+++ b/src/services/membership/registration-reader.ts
@@ -1,7 +1,7 @@
 import {type Disposable} from '../../base/disposable.js';
 import {DisposableStore} from '../../base/disposable-store.js';
 import {Waiter} from '../../base/waiter.js';
-import {type StoreService} from '../../platform/store/store-service.js';
+import {type StoreService} from '../../runtime/store/store-service.js';
 import {type Member} from './member.js';
 import {MemberState} from './member-state.js';
 import {type MemberTable} from './member-table.js';
--- a/src/services/membership/store-lease-service.ts
+++ b/src/services/membership/store-lease-service.ts
@@ -1,10 +1,10 @@
 import {type Disposable} from '../../base/disposable.js';
 import {Emitter} from '../../base/emitter.js';
 import {Waiter} from '../../base/waiter.js';
-import {LogService} from '../../platform/log/log-service.js';
-import {MetricsService} from '../../platform/metrics/metrics-service.js';
-import {SettingsService} from '../../platform/settings/settings-service.js';
-import {StoreService} from '../../platform/store/store-service.js';
+import {LogService} from '../../runtime/log/log-service.js';
+import {MetricsService} from '../../runtime/metrics/metrics-service.js';
+import {SettingsService} from '../../runtime/settings/settings-service.js';
+import {StoreService} from '../../runtime/store/store-service.js';
 import {type LeaseService, type Registration} from './lease-service.js';
 import {SeededRandom} from './seeded-random.js';
 
--- a/src/services/membership/test/counting-metrics.ts
+++ b/src/services/membership/test/counting-metrics.ts
@@ -1,4 +1,4 @@
-import {type MetricsService} from '../../../platform/metrics/metrics-service.js';
+import {type MetricsService} from '../../../runtime/metrics/metrics-service.js';
 
 /** Sums counters by name. */
 export class CountingMetrics implements MetricsService {
--- a/src/services/membership/test/membership-fixture.ts
+++ b/src/services/membership/test/membership-fixture.ts
@@ -1,7 +1,7 @@
 import {install, type Clock} from '@sinonjs/fake-timers';
-import {type LogService} from '../../../platform/log/log-service.js';
-import {testSettings as peerSettings} from '../../../platform/peer/test/peer-fixture.js';
-import {type NodeSettings} from '../../../platform/settings/node-settings.js';
+import {type LogService} from '../../../runtime/log/log-service.js';
+import {testSettings as peerSettings} from '../../../runtime/peer/test/peer-fixture.js';
+import {type NodeSettings} from '../../../runtime/settings/node-settings.js';
 import {type DatagramSocket} from '../datagram-socket.js';
 import {GossipMembershipService} from '../gossip-membership-service.js';
 import {StoreLeaseService} from '../store-lease-service.js';
--- a/src/services/membership/test/memory-store.ts
+++ b/src/services/membership/test/memory-store.ts
@@ -2,8 +2,8 @@
 import {ErrorKind} from '../../../base/error-kind.js';
 import {KumquatlineError} from '../../../base/kumquatline-error.js';
 import {toDisposable} from '../../../base/to-disposable.js';
-import {type StoreEntry} from '../../../platform/store/store-entry.js';
-import {type StoreChange, type StoreService} from '../../../platform/store/store-service.js';
+import {type StoreEntry} from '../../../runtime/store/store-entry.js';
+import {type StoreChange, type StoreService} from '../../../runtime/store/store-service.js';
 
 type Lease = {ttlMs: number; expiresAtMs: number};
 
--- a/src/services/ownership/attempt-rules.ts
+++ b/src/services/ownership/attempt-rules.ts
@@ -1,6 +1,6 @@
 import {ErrorKind} from '../../base/error-kind.js';
 import {KumquatlineError} from '../../base/kumquatline-error.js';
-import {type SettingsService} from '../../platform/settings/settings-service.js';
+import {type SettingsService} from '../../runtime/settings/settings-service.js';
 import {type CallRequest} from '../calls/call-request.js';
 import {type PolicyService} from '../policy/policy-service.js';
 import {type HeldShard} from './held-shard.js';
--- a/src/services/ownership/own-method.ts
+++ b/src/services/ownership/own-method.ts
@@ -1,4 +1,4 @@
-import {PeerMethod} from '../../platform/peer/peer-method.js';
+import {PeerMethod} from '../../runtime/peer/peer-method.js';
 import {type CallRequest} from '../calls/call-request.js';
 import {type OwnReply} from './own-reply.js';
 
--- a/src/services/ownership/ownership-service.ts
+++ b/src/services/ownership/ownership-service.ts
@@ -1,5 +1,5 @@
-import {createServiceId} from '../../platform/kernel/create-service-id.js';
-import {type PeerAddress} from '../../platform/peer/peer-address.js';
+import {createServiceId} from '../../runtime/kernel/create-service-id.js';
+import {type PeerAddress} from '../../runtime/peer/peer-address.js';
 import {type CallAnswer} from '../calls/call-answer.js';
 import {type CallContext} from '../calls/call-context.js';
 import {type CallRequest} from '../calls/call-request.js';
--- a/src/services/ownership/request-owner.ts
+++ b/src/services/ownership/request-owner.ts
@@ -5,7 +5,7 @@
 import {Execution} from '../../base/execution.js';
 import {toWireError} from '../../base/to-wire-error.js';
 import {type WireError} from '../../base/wire-error.js';
-import {type SettingsService} from '../../platform/settings/settings-service.js';
+import {type SettingsService} from '../../runtime/settings/settings-service.js';
 import {type CallAnswer} from '../calls/call-answer.js';
 import {type CallRequest} from '../calls/call-request.js';
 import {type UpstreamService} from '../calls/upstream-service.js';
--- a/src/services/ownership/resolve-method.ts
+++ b/src/services/ownership/resolve-method.ts
@@ -1,5 +1,5 @@
 import {type WireError} from '../../base/wire-error.js';
-import {PeerMethod} from '../../platform/peer/peer-method.js';
+import {PeerMethod} from '../../runtime/peer/peer-method.js';
 import {type CallAnswer} from '../calls/call-answer.js';
 import {type EntryState} from './entry-state.js';
 
--- a/src/services/ownership/shard-holdings.ts
+++ b/src/services/ownership/shard-holdings.ts
@@ -1,5 +1,5 @@
 import {Deferred} from '../../base/deferred.js';
-import {type SettingsService} from '../../platform/settings/settings-service.js';
+import {type SettingsService} from '../../runtime/settings/settings-service.js';
 import {type LeaseService} from '../membership/lease-service.js';
 import {type PolicyService} from '../policy/policy-service.js';
 import {type HeldShard} from './held-shard.js';
--- a/src/services/ownership/shard-keeper.ts
+++ b/src/services/ownership/shard-keeper.ts
@@ -1,7 +1,7 @@
 import {ErrorKind} from '../../base/error-kind.js';
 import {KumquatlineError} from '../../base/kumquatline-error.js';
-import {type LogService} from '../../platform/log/log-service.js';
-import {type SettingsService} from '../../platform/settings/settings-service.js';
+import {type LogService} from '../../runtime/log/log-service.js';
+import {type SettingsService} from '../../runtime/settings/settings-service.js';
 import {type LeaseService} from '../membership/lease-service.js';
 import {MemberState} from '../membership/member-state.js';
 import {type Member} from '../membership/member.js';
--- a/src/services/ownership/sharded-ownership-service.ts
+++ b/src/services/ownership/sharded-ownership-service.ts
@@ -1,11 +1,11 @@
 import {type Disposable} from '../../base/disposable.js';
 import {DisposableStore} from '../../base/disposable-store.js';
 import {toDisposable} from '../../base/to-disposable.js';
-import {LogService} from '../../platform/log/log-service.js';
-import {type PeerAddress} from '../../platform/peer/peer-address.js';
-import {PeerService} from '../../platform/peer/peer-service.js';
-import {SettingsService} from '../../platform/settings/settings-service.js';
-import {StoreService} from '../../platform/store/store-service.js';
+import {LogService} from '../../runtime/log/log-service.js';
+import {type PeerAddress} from '../../runtime/peer/peer-address.js';
+import {PeerService} from '../../runtime/peer/peer-service.js';
+import {SettingsService} from '../../runtime/settings/settings-service.js';
+import {StoreService} from '../../runtime/store/store-service.js';
 import {type CallAnswer} from '../calls/call-answer.js';
 import {type CallContext} from '../calls/call-context.js';
 import {type CallRequest} from '../calls/call-request.js';
--- a/src/services/ownership/table-method.ts
+++ b/src/services/ownership/table-method.ts
@@ -1,4 +1,4 @@
-import {PeerMethod} from '../../platform/peer/peer-method.js';
+import {PeerMethod} from '../../runtime/peer/peer-method.js';
 import {type ShardTable} from './shard-table.js';
 
 type TableParams = {readonly service: string};
--- a/src/services/ownership/take-shard-method.ts
+++ b/src/services/ownership/take-shard-method.ts
@@ -1,4 +1,4 @@
-import {PeerMethod} from '../../platform/peer/peer-method.js';
+import {PeerMethod} from '../../runtime/peer/peer-method.js';
 import {type CarriedEntry} from './carried-entry.js';
 import {type RetryCount} from './retry-count.js';
 
--- a/src/services/ownership/test/mesh/memory-store.ts
+++ b/src/services/ownership/test/mesh/memory-store.ts
@@ -1,5 +1,5 @@
-import {type StoreEntry} from '../../../../platform/store/store-entry.js';
-import {type StoreChange, type SwapResult} from '../../../../platform/store/store-service.js';
+import {type StoreEntry} from '../../../../runtime/store/store-entry.js';
+import {type StoreChange, type SwapResult} from '../../../../runtime/store/store-service.js';
 
 /** The key-value store's state in memory: what one consistent store would answer, without its delays and faults. */
 export class MemoryStore {
--- a/src/services/ownership/test/mesh/mesh-membership-service.ts
+++ b/src/services/ownership/test/mesh/mesh-membership-service.ts
@@ -1,6 +1,6 @@
 import {Emitter} from '../../../../base/emitter.js';
-import {type PeerService} from '../../../../platform/peer/peer-service.js';
-import {type StoreService} from '../../../../platform/store/store-service.js';
+import {type PeerService} from '../../../../runtime/peer/peer-service.js';
+import {type StoreService} from '../../../../runtime/store/store-service.js';
 import {type LeaseService} from '../../../membership/lease-service.js';
 import {MemberState} from '../../../membership/member-state.js';
 import {type Member} from '../../../membership/member.js';
--- a/src/services/ownership/test/mesh/mesh-store-service.ts
+++ b/src/services/ownership/test/mesh/mesh-store-service.ts
@@ -2,10 +2,10 @@
 import {ErrorKind} from '../../../../base/error-kind.js';
 import {KumquatlineError} from '../../../../base/kumquatline-error.js';
 import {type Disposable} from '../../../../base/disposable.js';
-import {type StoreEntry} from '../../../../platform/store/store-entry.js';
+import {type StoreEntry} from '../../../../runtime/store/store-entry.js';
 import {
 	type StoreChange, type StoreListing, type StoreService, type SwapResult,
-} from '../../../../platform/store/store-service.js';
+} from '../../../../runtime/store/store-service.js';
 import {type MemoryStore} from './memory-store.js';
 import {type MeshConditions} from './mesh-conditions.js';
 import {type MeshProcess} from './mesh-process.js';
--- a/src/services/policy/operator-routes.ts
+++ b/src/services/policy/operator-routes.ts
@@ -2,9 +2,9 @@
 import type createRouter from 'find-my-way';
 import {ErrorKind} from '../../base/error-kind.js';
 import {KumquatlineError} from '../../base/kumquatline-error.js';
-import {readBody} from '../../platform/http/read-body.js';
-import {writeJson} from '../../platform/http/write-json.js';
-import {writeProblem} from '../../platform/http/write-problem.js';
+import {readBody} from '../../runtime/http/read-body.js';
+import {writeJson} from '../../runtime/http/write-json.js';
+import {writeProblem} from '../../runtime/http/write-problem.js';
 import {type PolicyPatch, type PolicyService} from './policy-service.js';
 import {previewPolicy} from './preview-policy.js';
 
--- a/src/services/policy/policy-method.ts
+++ b/src/services/policy/policy-method.ts
@@ -1,5 +1,5 @@
 import {type z} from 'zod';
-import {PeerMethod} from '../../platform/peer/peer-method.js';
+import {PeerMethod} from '../../runtime/peer/peer-method.js';
 import {type patchRecord} from './patch-record.js';
 import {type Policy} from './policy.js';
 
--- a/src/services/policy/policy-service.ts
+++ b/src/services/policy/policy-service.ts
@@ -1,7 +1,7 @@
 import {type Operation as JsonPatchOperation} from 'rfc6902';
 import {type Event} from '../../base/event.js';
-import {createServiceId} from '../../platform/kernel/create-service-id.js';
-import {type PeerAddress} from '../../platform/peer/peer-address.js';
+import {createServiceId} from '../../runtime/kernel/create-service-id.js';
+import {type PeerAddress} from '../../runtime/peer/peer-address.js';
 import {type Policy} from './policy.js';
 
 export type PolicyPatch = {
--- a/src/services/policy/policy-writer.ts
+++ b/src/services/policy/policy-writer.ts
@@ -1,8 +1,8 @@
 import {ErrorKind} from '../../base/error-kind.js';
 import {Execution} from '../../base/execution.js';
 import {KumquatlineError} from '../../base/kumquatline-error.js';
-import {type Backoff} from '../../platform/store/backoff.js';
-import {type StoreService} from '../../platform/store/store-service.js';
+import {type Backoff} from '../../runtime/store/backoff.js';
+import {type StoreService} from '../../runtime/store/store-service.js';
 import {parsePolicy} from './parse-policy.js';
 import {policyKey} from './policy-key.js';
 import {type PatchResult} from './policy-service.js';
--- a/src/services/policy/test/local-peers.ts
+++ b/src/services/policy/test/local-peers.ts
@@ -2,9 +2,9 @@
 import {ErrorKind} from '../../../base/error-kind.js';
 import {KumquatlineError} from '../../../base/kumquatline-error.js';
 import {toDisposable} from '../../../base/to-disposable.js';
-import {type PeerAddress} from '../../../platform/peer/peer-address.js';
-import {type PeerMethod} from '../../../platform/peer/peer-method.js';
-import {type PeerCall, type PeerService} from '../../../platform/peer/peer-service.js';
+import {type PeerAddress} from '../../../runtime/peer/peer-address.js';
+import {type PeerMethod} from '../../../runtime/peer/peer-method.js';
+import {type PeerCall, type PeerService} from '../../../runtime/peer/peer-service.js';
 
 type Handler = (params: unknown, call: PeerCall) => Promise<unknown>;
 
--- a/src/services/policy/test/memory-store.ts
+++ b/src/services/policy/test/memory-store.ts
@@ -3,10 +3,10 @@
 import {ErrorKind} from '../../../base/error-kind.js';
 import {type Event} from '../../../base/event.js';
 import {KumquatlineError} from '../../../base/kumquatline-error.js';
-import {type StoreEntry} from '../../../platform/store/store-entry.js';
+import {type StoreEntry} from '../../../runtime/store/store-entry.js';
 import {
 	type StoreChange, type StoreListing, type StoreService, type SwapResult,
-} from '../../../platform/store/store-service.js';
+} from '../../../runtime/store/store-service.js';
 
 /** Store in memory without leases; answers in the same turn, with an outage and lost answers on demand. */
 export class MemoryStore implements StoreService {
--- a/src/services/policy/test/policy-node.ts
+++ b/src/services/policy/test/policy-node.ts
@@ -1,11 +1,11 @@
 import {type Disposable} from '../../../base/disposable.js';
-import {Kernel} from '../../../platform/kernel/kernel.js';
-import {LogService} from '../../../platform/log/log-service.js';
-import {PeerService} from '../../../platform/peer/peer-service.js';
-import {FixedSettingsService} from '../../../platform/settings/fixed-settings-service.js';
-import {type NodeSettings} from '../../../platform/settings/node-settings.js';
-import {SettingsService} from '../../../platform/settings/settings-service.js';
-import {StoreService} from '../../../platform/store/store-service.js';
+import {Kernel} from '../../../runtime/kernel/kernel.js';
+import {LogService} from '../../../runtime/log/log-service.js';
+import {PeerService} from '../../../runtime/peer/peer-service.js';
+import {FixedSettingsService} from '../../../runtime/settings/fixed-settings-service.js';
+import {type NodeSettings} from '../../../runtime/settings/node-settings.js';
+import {SettingsService} from '../../../runtime/settings/settings-service.js';
+import {StoreService} from '../../../runtime/store/store-service.js';
 import {PolicyService} from '../policy-service.js';
 import {StoredPolicyService} from '../stored-policy-service.js';
 import {LocalPeers} from './local-peers.js';
--- a/src/services/retries/grant-method.ts
+++ b/src/services/retries/grant-method.ts
@@ -1,4 +1,4 @@
-import {PeerMethod} from '../../platform/peer/peer-method.js';
+import {PeerMethod} from '../../runtime/peer/peer-method.js';
 import {type CallContext} from '../calls/call-context.js';
 
 type GrantParams = {
--- a/src/services/retries/granted-retry-service.ts
+++ b/src/services/retries/granted-retry-service.ts
@@ -1,7 +1,7 @@
 import {type Disposable} from '../../base/disposable.js';
 import {KumquatlineError} from '../../base/kumquatline-error.js';
-import {type PeerAddress} from '../../platform/peer/peer-address.js';
-import {PeerService} from '../../platform/peer/peer-service.js';
+import {type PeerAddress} from '../../runtime/peer/peer-address.js';
+import {PeerService} from '../../runtime/peer/peer-service.js';
 import {type CallContext} from '../calls/call-context.js';
 import {MembershipService} from '../membership/membership-service.js';
 import {findRun} from '../ownership/find-run.js';
--- a/src/services/routing/policy-routing-service.ts
+++ b/src/services/routing/policy-routing-service.ts
@@ -5,7 +5,7 @@
 import {ErrorKind} from '../../base/error-kind.js';
 import {Execution} from '../../base/execution.js';
 import {KumquatlineError} from '../../base/kumquatline-error.js';
-import {SettingsService} from '../../platform/settings/settings-service.js';
+import {SettingsService} from '../../runtime/settings/settings-service.js';
 import {admitsAt} from '../admission/admits-at.js';
 import {type HeardThreshold} from '../admission/heard-threshold.js';
 import {type UpstreamLoad} from '../admission/upstream-load.js';
--- a/src/services/routing/routing-service.ts
+++ b/src/services/routing/routing-service.ts
@@ -1,4 +1,4 @@
-import {createServiceId} from '../../platform/kernel/create-service-id.js';
+import {createServiceId} from '../../runtime/kernel/create-service-id.js';
 import {type CallContext} from '../calls/call-context.js';
 import {type Member} from '../membership/member.js';
 import {type Operation} from '../policy/operation.js';
--- a/src/services/routing/test/routing-fixture.ts
+++ b/src/services/routing/test/routing-fixture.ts
@@ -1,5 +1,5 @@
 import {Emitter} from '../../../base/emitter.js';
-import {type SettingsService} from '../../../platform/settings/settings-service.js';
+import {type SettingsService} from '../../../runtime/settings/settings-service.js';
 import {type UpstreamLoad} from '../../admission/upstream-load.js';
 import {MemberState} from '../../membership/member-state.js';
 import {type MembershipService} from '../../membership/membership-service.js';
--- a/standins/relay/test/silent-connections.test.ts
+++ b/standins/relay/test/silent-connections.test.ts
@@ -1,8 +1,8 @@
 import test from 'ava';
 import {Deferred} from '../../../src/base/deferred.js';
 import {ErrorKind} from '../../../src/base/error-kind.js';
-import {PeerMethod} from '../../../src/platform/peer/peer-method.js';
-import {startPeer} from '../../../src/platform/peer/test/peer-fixture.js';
+import {PeerMethod} from '../../../src/runtime/peer/peer-method.js';
+import {startPeer} from '../../../src/runtime/peer/test/peer-fixture.js';
 import {RelayFault} from '../relay-fault.js';
 import {TcpRelay} from '../tcp-relay.js';
 
--- a/standins/store/test/watch-recorder.ts
+++ b/standins/store/test/watch-recorder.ts
@@ -1,5 +1,5 @@
 import {setTimeout as sleep} from 'node:timers/promises';
-import {type StoreChange} from '../../../src/platform/store/store-service.js';
+import {type StoreChange} from '../../../src/runtime/store/store-service.js';
 
 const pollMs = 5;
 
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,4 +1,4 @@
-const layers = ['base', 'platform', 'services', 'programs'];
+const layers = ['base', 'runtime', 'services', 'programs'];
 
 /** Forbids a layer to import from the layers above it. */
 const layerRule = (layer, index) => ({
@@ -50,7 +50,7 @@
 	},
 	{
 		// The etcd gateway's messages have names of its own.
-		files: ['src/platform/store/etcd-*.ts', 'src/platform/store/to-store-entry.ts', 'standins/store/*.ts'],
+		files: ['src/runtime/store/etcd-*.ts', 'src/runtime/store/to-store-entry.ts', 'standins/store/*.ts'],
 		rules: {
 			'@typescript-eslint/naming-convention': 'off',
 		},
