Speak the platform's store protocol instead of the etcd gateway's

Cause: the store that the product runs on is reached by kv-key, kv-range, kv-watch, kv-txn and leases; the etcd dialect has no use any more. One client in src/platform/store behind the StoreService that exists. A watch is a chain of bounded polls, so a silent one is found without a second reading. A call that is turned away (429, 503) keeps its connections. The stand-in speaks the same, with turned-away calls and forgotten history as new faults.

--- a/bench/slopes/call-rates.ts
+++ b/bench/slopes/call-rates.ts
@@ -34,8 +34,11 @@
 	};
 }
 
+/** Calls that the store counts as reads. */
+const readCalls = ['kv-key', 'kv-range', 'kv-watch', 'kv-keep'];
+
 function countReads(counts: Readonly<Record<string, number>>): number {
-	return (counts['/v3/kv/range'] ?? 0) + (counts['/v3/watch'] ?? 0);
+	return readCalls.reduce((total, call) => total + (counts[call] ?? 0), 0);
 }
 
 function countAll(counts: Readonly<Record<string, number>>): number {
--- a/bench/slopes/fleet-member.ts
+++ b/bench/slopes/fleet-member.ts
@@ -7,7 +7,7 @@
 import {PeerService} from '../../src/runtime/peer/peer-service.js';
 import {FixedSettingsService} from '../../src/runtime/settings/fixed-settings-service.js';
 import {SettingsService} from '../../src/runtime/settings/settings-service.js';
-import {EtcdStoreService} from '../../src/runtime/store/etcd-store-service.js';
+import {KvStoreService} from '../../src/platform/store/kv-store-service.js';
 import {StoreService} from '../../src/runtime/store/store-service.js';
 import {GossipMembershipService} from '../../src/services/membership/gossip-membership-service.js';
 import {LeaseService} from '../../src/services/membership/lease-service.js';
@@ -44,7 +44,7 @@
 			})))
 			.register(LogService, WinstonLogService)
 			.register(MetricsService, StatsdMetricsService)
-			.register(StoreService, EtcdStoreService)
+			.register(StoreService, KvStoreService)
 			.register(PeerService, FramedPeerService)
 			.register(PolicyService, StoredPolicyService)
 			.register(LeaseService, StoreLeaseService)
--- a/prove/naive/unbounded-store-service.ts
+++ b/prove/naive/unbounded-store-service.ts
@@ -1,14 +1,14 @@
 import {type Disposable} from '../../src/base/disposable.js';
 import {FixedSettingsService} from '../../src/runtime/settings/fixed-settings-service.js';
 import {SettingsService} from '../../src/runtime/settings/settings-service.js';
-import {EtcdStoreService} from '../../src/runtime/store/etcd-store-service.js';
+import {KvStoreService} from '../../src/platform/store/kv-store-service.js';
 import {type StoreChange, type SwapResult} from '../../src/runtime/store/store-service.js';
 
 const endlessMs = 3_600_000;
 const maxTries = 3;
 
 /** Naive counterpart of the store client: waits for every answer, sends a swap again without one, and trusts its watch. */
-export class UnboundedStoreService extends EtcdStoreService {
+export class UnboundedStoreService extends KvStoreService {
 	constructor(@SettingsService {settings}: SettingsService) {
 		super(new FixedSettingsService({...settings, probeAfterMs: endlessMs, abandonAfterMs: endlessMs}));
 	}
--- a/prove/policy/proof-node.ts
+++ b/prove/policy/proof-node.ts
@@ -6,7 +6,7 @@
 import {FixedSettingsService} from '../../src/runtime/settings/fixed-settings-service.js';
 import {type NodeSettings} from '../../src/runtime/settings/node-settings.js';
 import {SettingsService} from '../../src/runtime/settings/settings-service.js';
-import {EtcdStoreService} from '../../src/runtime/store/etcd-store-service.js';
+import {KvStoreService} from '../../src/platform/store/kv-store-service.js';
 import {StoreService} from '../../src/runtime/store/store-service.js';
 import {policyDigest} from '../../src/services/policy/policy-digest.js';
 import {PolicyService} from '../../src/services/policy/policy-service.js';
@@ -97,7 +97,7 @@
 		.registerInstance(MetricsService, {
 			count: ignore, record: ignore, snapshot: () => ({counters: {}, histograms: {}}),
 		})
-		.register(StoreService, EtcdStoreService)
+		.register(StoreService, KvStoreService)
 		.register(PeerService, ZonedPeerService)
 		.register(PolicyService, policyClass);
 }
--- a/prove/store/store-proof.ts
+++ b/prove/store/store-proof.ts
@@ -1,4 +1,4 @@
-import {EtcdStoreService} from '../../src/runtime/store/etcd-store-service.js';
+import {KvStoreService} from '../../src/platform/store/kv-store-service.js';
 import {UnboundedStoreService} from '../naive/unbounded-store-service.js';
 import {type Proof} from '../proof.js';
 import {type ProofReport} from '../proof-report.js';
@@ -12,7 +12,7 @@
 	separateProcesses: false,
 
 	async run(seed: number, variant: ProofVariant): Promise<ProofReport> {
-		const run = new StoreRun(seed, variant === ProofVariant.Real ? EtcdStoreService : UnboundedStoreService);
+		const run = new StoreRun(seed, variant === ProofVariant.Real ? KvStoreService : UnboundedStoreService);
 		const violations = await run.run(storeSchedule(seed));
 		return {
 			schedules: 1,
--- a/prove/store/test/store-proof.test.ts
+++ b/prove/store/test/store-proof.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {EtcdStoreService} from '../../../src/runtime/store/etcd-store-service.js';
+import {KvStoreService} from '../../../src/platform/store/kv-store-service.js';
 import {UnboundedStoreService} from '../../naive/unbounded-store-service.js';
 import {StoreRun} from '../store-run.js';
 import {type StoreStep} from '../store-step.js';
@@ -32,10 +32,10 @@
 		t.regex(violation, /^value-\d+ was told not written but is in the store's history$/v);
 	}
 
-	t.deepEqual(await new StoreRun(seed, EtcdStoreService).run(lostAnswers), []);
+	t.deepEqual(await new StoreRun(seed, KvStoreService).run(lostAnswers), []);
 });
 
 test('the check finds endless calls and a silent watch', async t => {
 	t.snapshot(await new StoreRun(seed, UnboundedStoreService).run(silence));
-	t.deepEqual(await new StoreRun(seed, EtcdStoreService).run(silence), []);
+	t.deepEqual(await new StoreRun(seed, KvStoreService).run(silence), []);
 });
--- /dev/null
+++ b/src/platform/store/kv-connection.ts
@@ -0,0 +1,178 @@
+import {type Dispatcher, Pool} from 'undici';
+import {type Disposable} from '../../base/disposable.js';
+import {Emitter} from '../../base/emitter.js';
+import {type Event} from '../../base/event.js';
+import {ErrorKind} from '../../base/error-kind.js';
+import {ignoreRejection} from '../../base/ignore-rejection.js';
+import {KumquatlineError} from '../../base/kumquatline-error.js';
+
+/** Calls that run at once, waiting watches included. */
+const maxConnections = 8;
+/** A page of a listing has at most about a megabyte, base64 and names included it stays below this. */
+const maxAnswerBytes = 8 * 1024 * 1024;
+/** Statuses by which the store says that nothing was done; the connection is sound. */
+const turnedAwayStatuses: ReadonlySet<number> = new Set([429, 503]);
+
+type ConnectionSettings = {
+	readonly urls: readonly string[];
+	/** Silence after which a call that is safe to repeat is sent again, over a new connection. */
+	readonly probeAfterMs: number;
+	/** Further silence after which any call is given up. */
+	readonly abandonAfterMs: number;
+};
+
+export type KvRequest = {
+	readonly method: Dispatcher.HttpMethod;
+	readonly path: string;
+	readonly query?: Readonly<Record<string, string | number>>;
+	readonly body?: unknown;
+};
+
+export type KvAnswer = {
+	readonly status: number;
+	readonly json: unknown;
+};
+
+type CallOptions = {
+	/** Whether sending the call twice is as good as sending it once. */
+	readonly repeatable: boolean;
+	readonly signal?: AbortSignal;
+	/** How long the store may hold the answer back on purpose. */
+	readonly holdMs?: number;
+};
+
+/**
+Calls to the platform's store, each bounded in time.
+
+A call that gets no answer costs its connections, and the calls after it go over new ones: what lies between may have lost track of the others too.
+*/
+export class KvConnection implements Disposable {
+	readonly onDidChangeReach: Event<boolean>;
+	private readonly reachEmitter = new Emitter<boolean>();
+	private urlIndex = 0;
+	private pool: Pool;
+	private isReachable = false;
+	private isDisposed = false;
+
+	constructor(private readonly settings: ConnectionSettings) {
+		this.onDidChangeReach = this.reachEmitter.event;
+		this.pool = this.openPool();
+	}
+
+	get reachable(): boolean {
+		return this.isReachable;
+	}
+
+	/** Returns the answer, whatever its status; throws `store-unavailable` without one or when the store turns the call away. */
+	async call(request: KvRequest, options: CallOptions): Promise<KvAnswer> {
+		const {probeAfterMs, abandonAfterMs} = this.settings;
+		const holdMs = options.holdMs ?? 0;
+		if (!options.repeatable) {
+			return this.attempt(request, probeAfterMs + abandonAfterMs, options.signal);
+		}
+
+		try {
+			return await this.attempt(request, holdMs + probeAfterMs, options.signal);
+		} catch (error) {
+			const isTurnedAway = error instanceof KumquatlineError && error.started === false;
+			if (this.isDisposed || isTurnedAway || options.signal?.aborted === true) {
+				throw error;
+			}
+
+			return this.attempt(request, holdMs + abandonAfterMs, options.signal);
+		}
+	}
+
+	dispose(): void {
+		this.isDisposed = true;
+		this.reachEmitter.dispose();
+		void ignoreRejection(this.pool.destroy());
+	}
+
+	private async attempt(request: KvRequest, timeoutMs: number, signal?: AbortSignal): Promise<KvAnswer> {
+		const {pool} = this;
+		const controller = new AbortController();
+		const timer = setTimeout(() => {
+			controller.abort();
+		}, timeoutMs);
+		const bounded = signal ? AbortSignal.any([signal, controller.signal]) : controller.signal;
+		try {
+			const answer = await this.send(pool, request, bounded);
+			if (turnedAwayStatuses.has(answer.status)) {
+				throw new KumquatlineError(ErrorKind.StoreUnavailable, `the store turned ${request.path} away with status ${answer.status}`, {started: false});
+			}
+
+			this.noteReach(true);
+			return answer;
+		} catch (error) {
+			this.noteFailure(pool, error, signal?.aborted === true);
+			throw this.toError(request.path, error);
+		} finally {
+			clearTimeout(timer);
+		}
+	}
+
+	private async send(pool: Pool, {method, path, query, body}: KvRequest, signal: AbortSignal): Promise<KvAnswer> {
+		const response = await pool.request({
+			method,
+			path,
+			query,
+			...(body !== undefined && {body: JSON.stringify(body), headers: {'content-type': 'application/json'}}),
+			signal,
+		});
+		const text = await response.body.text();
+		return {status: response.statusCode, json: parseJson(text)};
+	}
+
+	private noteFailure(pool: Pool, error: unknown, isCancelled: boolean): void {
+		if (isCancelled) {
+			return;
+		}
+
+		this.noteReach(false);
+		const isTurnedAway = error instanceof KumquatlineError;
+		if (isTurnedAway || this.pool !== pool || this.isDisposed) {
+			return;
+		}
+
+		this.urlIndex = (this.urlIndex + 1) % this.settings.urls.length;
+		this.pool = this.openPool();
+		// Calls that still wait on the old connections run into their own time limits.
+		void ignoreRejection(pool.close());
+	}
+
+	private openPool(): Pool {
+		return new Pool(this.settings.urls[this.urlIndex], {
+			connections: maxConnections,
+			headersTimeout: 0,
+			bodyTimeout: 0,
+			maxResponseSize: maxAnswerBytes,
+			connect: {timeout: this.settings.probeAfterMs},
+		});
+	}
+
+	private noteReach(reachable: boolean): void {
+		if (this.isReachable !== reachable) {
+			this.isReachable = reachable;
+			this.reachEmitter.fire(reachable);
+		}
+	}
+
+	private toError(path: string, cause: unknown): KumquatlineError {
+		if (cause instanceof KumquatlineError) {
+			return cause;
+		}
+
+		const reason = cause instanceof Error ? cause.message : String(cause);
+		return new KumquatlineError(ErrorKind.StoreUnavailable, `the store did not answer ${path}: ${reason}`, {cause});
+	}
+}
+
+/** Bodies of refusals need not be JSON. */
+function parseJson(text: string): unknown {
+	try {
+		return JSON.parse(text);
+	} catch {
+		return undefined;
+	}
+}
--- /dev/null
+++ b/src/platform/store/kv-watch.ts
@@ -0,0 +1,107 @@
+import {type RandomGenerator} from 'pure-rand/types/RandomGenerator';
+import {type z} from 'zod';
+import {type Disposable} from '../../base/disposable.js';
+import {ignoreRejection} from '../../base/ignore-rejection.js';
+import {Backoff} from '../../runtime/store/backoff.js';
+import {type StoreEntry} from '../../runtime/store/store-entry.js';
+import {type StoreChange, type StoreListing} from '../../runtime/store/store-service.js';
+import {type kvMessages} from './kv-messages.js';
+import {toStoreEntry} from './to-store-entry.js';
+
+/** Waits between tries while the store is away: short enough to be back within a second of its return. */
+const firstBackoffMs = 100;
+const backoffLimitMs = 1000;
+
+type WatchAnswer = z.infer<typeof kvMessages.watch>;
+
+type WatchSource = {
+	readonly list: (signal: AbortSignal) => Promise<StoreListing>;
+	/** Waits for changes after a revision; undefined when that history is gone. */
+	readonly poll: (after: number, signal: AbortSignal) => Promise<WatchAnswer | undefined>;
+};
+
+/** Follows a prefix: lists it once, then asks for the changes after what is known, and lists again when the history is gone. */
+export class KvWatch implements Disposable {
+	private readonly controller = new AbortController();
+	private readonly backoff: Backoff;
+	private readonly modRevisions = new Map<string, number>();
+	/** All changes up to this revision have been reported; undefined until a listing says so. */
+	private revision: number | undefined;
+
+	constructor(
+		private readonly source: WatchSource,
+		random: RandomGenerator,
+		private readonly listener: (change: StoreChange) => void,
+	) {
+		this.backoff = new Backoff(random, firstBackoffMs, backoffLimitMs);
+		void this.run();
+	}
+
+	dispose(): void {
+		this.controller.abort();
+	}
+
+	private async run(): Promise<void> {
+		const {signal} = this.controller;
+		while (!signal.aborted) {
+			try {
+				await this.advance(signal);
+				this.backoff.reset();
+			} catch {
+				// The connection reports that the store is away; what is missed meanwhile comes with the next answer.
+				await ignoreRejection(this.backoff.wait(signal));
+			}
+		}
+	}
+
+	private async advance(signal: AbortSignal): Promise<void> {
+		if (this.revision === undefined) {
+			this.takeListing(await this.source.list(signal));
+			return;
+		}
+
+		const answer = await this.source.poll(this.revision, signal);
+		if (!answer || answer.at < this.revision) {
+			this.revision = undefined;
+			return;
+		}
+
+		for (const event of answer.events) {
+			if ('deleted' in event) {
+				this.takeDeletion(event.key, event.rev);
+			} else {
+				this.takeEntry(toStoreEntry(event));
+			}
+		}
+
+		this.revision = answer.at;
+	}
+
+	private takeListing({entries, revision}: StoreListing): void {
+		const present = new Set(entries.map(({key}) => key));
+		for (const key of this.modRevisions.keys()) {
+			if (!present.has(key)) {
+				this.takeDeletion(key, revision);
+			}
+		}
+
+		for (const entry of entries) {
+			this.takeEntry(entry);
+		}
+
+		this.revision = revision;
+	}
+
+	private takeDeletion(key: string, revision: number): void {
+		if (!this.controller.signal.aborted && this.modRevisions.delete(key)) {
+			this.listener({key, revision});
+		}
+	}
+
+	private takeEntry(entry: StoreEntry): void {
+		if (!this.controller.signal.aborted && this.modRevisions.get(entry.key) !== entry.modRevision) {
+			this.modRevisions.set(entry.key, entry.modRevision);
+			this.listener({key: entry.key, entry, revision: entry.modRevision});
+		}
+	}
+}
--- a/src/programs/node/create-kernel.ts
+++ b/src/programs/node/create-kernel.ts
@@ -8,7 +8,7 @@
 import {FixedSettingsService} from '../../runtime/settings/fixed-settings-service.js';
 import {type NodeSettings} from '../../runtime/settings/node-settings.js';
 import {SettingsService} from '../../runtime/settings/settings-service.js';
-import {EtcdStoreService} from '../../runtime/store/etcd-store-service.js';
+import {KvStoreService} from '../../platform/store/kv-store-service.js';
 import {StoreService} from '../../runtime/store/store-service.js';
 import {AdmissionService} from '../../services/admission/admission-service.js';
 import {DelayThresholdService} from '../../services/admission/delay-threshold-service.js';
@@ -45,7 +45,7 @@
 		.registerInstance(SettingsService, new FixedSettingsService(settings))
 		.register(LogService, WinstonLogService)
 		.register(MetricsService, StatsdMetricsService)
-		.register(StoreService, EtcdStoreService)
+		.register(StoreService, KvStoreService)
 		.register(PeerService, FramedPeerService)
 		.register(PolicyService, StoredPolicyService)
 		.register(LeaseService, StoreLeaseService)
--- a/standins/store/store-faults.ts
+++ b/standins/store/store-faults.ts
@@ -7,6 +7,10 @@
 	/** Share of writes whose answer is lost after they took effect. */
 	readonly loseAnswers?: number;
 	readonly seed?: number;
+	/** Every call is turned away with this status, such as 429 or 503; 0 serves again. */
+	readonly turnAwayStatus?: number;
+	/** The changes made so far can't be watched any more. */
+	readonly forgetHistory?: boolean;
 	/** Watches open now stay open and deliver nothing more; later ones work. */
 	readonly silentWatches?: boolean;
 	/** Connections open now swallow all bytes for good; later ones work. */
--- a/standins/store/store-requests.ts
+++ b/standins/store/store-requests.ts
@@ -1,105 +1,126 @@
 import {Buffer} from 'node:buffer';
-import {toEtcdKeyValue} from './etcd-messages.js';
-import {type StoreState} from './store-state.js';
-
-type RangeRequest = {
-	key: string;
-	range_end?: string;
-	min_mod_revision?: string;
-};
+import {type StoredKey, type StoreState} from './store-state.js';
 
 type TxnRequest = {
-	compare?: Array<{key: string; target: string; mod_revision?: string; result?: string}>;
-	success?: TxnOperation[];
-	failure?: TxnOperation[];
+	readonly expected?: ReadonlyArray<{readonly key: string; readonly rev: number}>;
+	readonly writes?: ReadonlyArray<{readonly key: string; readonly value: string; readonly lease?: number}>;
+	readonly deletes?: readonly string[];
 };
 
-type TxnOperation = {
-	request_put?: {key: string; value?: string; lease?: string};
-	request_delete_range?: {key: string};
-	request_range?: RangeRequest;
+type StoreAnswer = {
+	readonly status: number;
+	readonly body?: unknown;
 };
 
-const decode = (text: string): string => Buffer.from(text, 'base64').toString();
+const maxTxnEntries = 32;
+/** Items of one page of a listing. */
+const pageItems = 500;
+const operatorPrefixes = ['op/', 'servers/'];
 
-/** Answers the unary requests of the etcd v3 JSON gateway that the project uses; throws for what etcd refuses. */
+/** Answers the calls of the platform's store that end at once; a watch is answered by `events`. */
 export class StoreRequests {
 	constructor(private readonly state: StoreState) {}
 
-	answer(path: string, body: unknown): unknown {
-		switch (path) {
-			case '/v3/kv/range': {
-				return {header: this.header(), ...this.range(body as RangeRequest)};
+	answer(method: string, path: string, query: URLSearchParams, body: unknown): StoreAnswer {
+		const [call, id = ''] = path.split('/').slice(2);
+		switch (`${method} ${call}`) {
+			case 'GET kv-key': {
+				return this.item(query.get('key') ?? '');
 			}
 
-			case '/v3/kv/txn': {
-				return this.txn(body as TxnRequest);
+			case 'GET kv-range': {
+				return this.page(query.get('prefix') ?? '', query.get('after') ?? '');
 			}
 
-			case '/v3/lease/grant': {
-				const ttlSeconds = Number((body as {TTL: string}).TTL);
-				return {header: this.header(), ID: this.state.grantLease(ttlSeconds * 1000), TTL: String(ttlSeconds)};
+			case 'POST kv-txn': {
+				return this.change(body as TxnRequest);
 			}
 
-			case '/v3/lease/keepalive': {
-				const {ID} = body as {ID: string};
-				const ttlMs = this.state.renewLease(ID);
-				return {result: {header: this.header(), ID, ...(ttlMs !== undefined && {TTL: String(ttlMs / 1000)})}};
+			case 'POST kv-lease': {
+				const {ttlS} = body as {ttlS: number};
+				return {status: 200, body: {lease: Number(this.state.grantLease(ttlS * 1000)), ttlS}};
 			}
 
-			case '/v3/lease/revoke': {
-				if (!this.state.revokeLease((body as {ID: string}).ID)) {
-					throw new Error('etcdserver: requested lease not found');
-				}
+			case 'POST kv-keep': {
+				const ttlMs = this.state.renewLease(id);
+				return ttlMs === undefined ? {status: 404} : {status: 200, body: {ttlS: ttlMs / 1000}};
+			}
 
-				return {header: this.header()};
+			case 'DELETE kv-lease-end': {
+				return {status: this.state.revokeLease(id) ? 200 : 404};
 			}
 
 			default: {
-				throw new Error(`no such method: ${path}`);
+				return {status: 404};
 			}
 		}
 	}
 
-	header(): {revision: string} {
-		return {revision: String(this.state.revision)};
+	/** The changes under a prefix after a revision, if any; 410 when that history is gone. */
+	events(prefix: string, after: number): StoreAnswer | undefined {
+		if (after < this.state.forgottenRevision) {
+			return {status: 410};
+		}
+
+		const events = this.state.changesSince(after + 1)
+			.filter(({key}) => key.startsWith(prefix))
+			.map(({key, entry, revision}) => entry ? toItem(entry) : {key, rev: revision, deleted: true});
+		return events.length === 0 ? undefined : this.watchAnswer(events);
 	}
 
-	private range(request: RangeRequest): Record<string, unknown> {
-		const entries = this.state.range(decode(request.key), request.range_end && decode(request.range_end));
-		const minModRevision = Number(request.min_mod_revision ?? 0);
-		const kvs = entries
-			.filter(entry => entry.modRevision >= minModRevision)
-			.map(entry => toEtcdKeyValue(entry));
-		return {...(kvs.length > 0 && {kvs}), ...(entries.length > 0 && {count: String(entries.length)})};
+	watchAnswer(events: readonly unknown[]): StoreAnswer {
+		return {status: 200, body: {events, at: this.state.revision}};
 	}
 
-	private txn(request: TxnRequest): unknown {
-		const succeeded = (request.compare ?? []).every(compare => {
-			if (compare.target !== 'MOD' || (compare.result ?? 'EQUAL') !== 'EQUAL') {
-				throw new Error(`comparison not supported: ${JSON.stringify(compare)}`);
-			}
+	private item(key: string): StoreAnswer {
+		const entry = this.state.get(key);
+		return entry ? {status: 200, body: {...toItem(entry), at: this.state.revision}} : {status: 404};
+	}
 
-			const modRevision = this.state.get(decode(compare.key))?.modRevision ?? 0;
-			return modRevision === Number(compare.mod_revision ?? 0);
-		});
-		const operations = (succeeded ? request.success : request.failure) ?? [];
-		const responses = operations.map(operation => this.operate(operation));
-		return {header: this.header(), ...(succeeded && {succeeded}), ...(responses.length > 0 && {responses})};
+	private page(prefix: string, after: string): StoreAnswer {
+		const entries = this.state.list(prefix).filter(({key}) => key > after);
+		const items = entries.slice(0, pageItems).map(entry => toItem(entry));
+		return {status: 200, body: {items, hasMore: entries.length > pageItems, at: this.state.revision}};
 	}
 
-	private operate({request_put: put, request_delete_range: deletion, request_range: range}: TxnOperation): unknown {
-		if (put) {
-			const leaseId = put.lease === '0' ? undefined : put.lease;
-			this.state.put(decode(put.key), decode(put.value ?? ''), leaseId);
-			return {response_put: {header: this.header()}};
+	private change({expected = [], writes = [], deletes = []}: TxnRequest): StoreAnswer {
+		if (expected.length + writes.length + deletes.length > maxTxnEntries) {
+			return {status: 400};
+		}
+
+		const keys = [...writes.map(({key}) => key), ...deletes];
+		if (keys.some(key => operatorPrefixes.some(prefix => key.startsWith(prefix)))) {
+			return {status: 403};
 		}
 
-		if (deletion) {
-			const deleted = this.state.delete(decode(deletion.key));
-			return {response_delete_range: {header: this.header(), ...(deleted && {deleted: '1'})}};
+		if (!writes.every(({lease = 0}) => lease === 0 || this.state.hasLease(String(lease)))) {
+			return {status: 404};
 		}
 
-		return {response_range: {header: this.header(), ...range && this.range(range)}};
+		if (!expected.every(({key, rev}) => (this.state.get(key)?.modRevision ?? 0) === rev)) {
+			const found = expected.map(({key}) => this.state.get(key)).filter(entry => entry !== undefined);
+			return {status: 412, body: {items: found.map(entry => toItem(entry))}};
+		}
+
+		for (const {key, value, lease = 0} of writes) {
+			this.state.put(key, Buffer.from(value, 'base64').toString(), lease === 0 ? undefined : String(lease));
+		}
+
+		for (const key of deletes) {
+			this.state.delete(key);
+		}
+
+		return {status: 200, body: {rev: this.state.revision}};
 	}
 }
+
+/** A key as the platform's store writes it. */
+function toItem(entry: StoredKey): Record<string, unknown> {
+	return {
+		key: entry.key,
+		value: Buffer.from(entry.value).toString('base64'),
+		rev: entry.modRevision,
+		created: entry.createRevision,
+		lease: Number(entry.leaseId ?? 0),
+	};
+}
--- a/standins/store/store-stand-in.ts
+++ b/standins/store/store-stand-in.ts
@@ -12,10 +12,10 @@
 import {StoreState} from './store-state.js';
 import {StoreWatch} from './store-watch.js';
 
-const writePaths = new Set(['/v3/kv/txn', '/v3/lease/grant', '/v3/lease/revoke', '/v3/lease/keepalive']);
+const watchPath = '/v1/kv-watch';
 
 /**
-Stand-in for the platform's key-value store: a subset of the etcd v3 JSON gateway, in memory, with faults on demand.
+Stand-in for the platform's key-value store: its HTTP protocol, in memory, with faults on demand.
 Several with one state are one store as it is reached from several availability zones.
 */
 export class StoreStandIn implements Disposable {
@@ -28,6 +28,7 @@
 	private readonly timers = new Set<NodeJS.Timeout>();
 	private outage = false;
 	private slowMs = 0;
+	private turnAwayStatus = 0;
 	private loseAnswers = 0;
 	private random: RandomGenerator = xoroshiro128plus(1);
 
@@ -62,7 +63,7 @@
 		});
 	}
 
-	/** Calls by path since the start; each watch counts as one. */
+	/** Calls by name since the start; each watch counts as one. */
 	callCounts(): Record<string, number> {
 		return Object.fromEntries(this.counts);
 	}
@@ -71,10 +72,15 @@
 		this.outage = faults.outage ?? this.outage;
 		this.slowMs = faults.slowMs ?? this.slowMs;
 		this.loseAnswers = faults.loseAnswers ?? this.loseAnswers;
+		this.turnAwayStatus = faults.turnAwayStatus ?? this.turnAwayStatus;
 		if (faults.seed !== undefined) {
 			this.random = xoroshiro128plus(faults.seed);
 		}
 
+		if (faults.forgetHistory) {
+			this.state.forgetHistory();
+		}
+
 		if (faults.silentWatches) {
 			for (const watch of this.watches) {
 				watch.silence();
@@ -101,9 +107,9 @@
 	}
 
 	private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
-		const path = request.url ?? '';
-		if (!path.startsWith('/v3/')) {
-			await this.handleControl(path, request, response);
+		const {pathname, searchParams} = new URL(request.url ?? '', this.url);
+		if (!pathname.startsWith('/v1/')) {
+			await this.handleControl(pathname, request, response);
 			return;
 		}
 
@@ -116,47 +122,54 @@
 			return;
 		}
 
-		this.counts.set(path, (this.counts.get(path) ?? 0) + 1);
-		const body: unknown = JSON.parse(await text(request));
-		if (path === '/v3/watch') {
-			this.openWatch(body, response);
+		const call = pathname.split('/')[2];
+		this.counts.set(call, (this.counts.get(call) ?? 0) + 1);
+		const body = await text(request);
+		if (this.turnAwayStatus > 0) {
+			response.writeHead(this.turnAwayStatus).end();
+			return;
+		}
+
+		if (pathname === watchPath) {
+			this.watch(searchParams, response);
 			return;
 		}
 
-		const {status, answer} = this.answer(path, body);
+		const answer = this.requests.answer(request.method!, pathname, searchParams, body === '' ? undefined : JSON.parse(body));
 		this.later(() => {
-			this.reply(path, response, status, answer);
+			this.reply(response, answer);
 		});
 	}
 
-	private answer(path: string, body: unknown): {status: number; answer: unknown} {
-		try {
-			return {status: 200, answer: this.requests.answer(path, body)};
-		} catch (error) {
-			const {message} = (error as Error);
-			const notFound = message.includes('not found');
-			return {status: notFound ? 404 : 400, answer: {error: message, code: notFound ? 5 : 3, message}};
-		}
-	}
-
-	private reply(path: string, response: ServerResponse, status: number, answer: unknown): void {
+	private reply(response: ServerResponse, {status, body}: ReturnType<StoreRequests['answer']>): void {
 		if (this.silentSockets.has(response.req.socket)) {
 			return;
 		}
 
-		if (writePaths.has(path) && this.loseAnswers > 0 && uniformFloat64(this.random) < this.loseAnswers) {
+		const isWrite = response.req.method !== 'GET';
+		if (isWrite && this.loseAnswers > 0 && uniformFloat64(this.random) < this.loseAnswers) {
 			response.req.socket.destroy();
 			return;
 		}
 
 		response.writeHead(status, {'content-type': 'application/json'});
-		response.end(JSON.stringify(answer));
+		response.end(JSON.stringify(body ?? {}));
 	}
 
-	private openWatch(body: unknown, response: ServerResponse): void {
-		const watch = new StoreWatch(this.state, body, change => {
-			this.later(change);
-		}, response);
+	private watch(query: URLSearchParams, response: ServerResponse): void {
+		const prefix = query.get('prefix') ?? '';
+		const after = Number(query.get('after'));
+		const answer = this.requests.events(prefix, after);
+		if (answer) {
+			this.reply(response, answer);
+			return;
+		}
+
+		const watch = new StoreWatch(this.state, this.requests, {prefix, after, maxWaitMs: Number(query.get('maxWaitMs'))}, change => {
+			this.later(() => {
+				this.reply(response, change);
+			});
+		});
 		this.watches.add(watch);
 		response.on('close', () => {
 			this.watches.delete(watch);
--- a/standins/store/store-state.ts
+++ b/standins/store/store-state.ts
@@ -28,6 +28,8 @@
 /** Keys, revisions and leases of the store stand-in, in memory; leases expire by the runtime's clock. */
 export class StoreState implements Disposable {
 	revision = 1;
+	/** Changes up to this revision can't be watched any more. */
+	forgottenRevision = 0;
 	readonly onDidChange: Event<KeyChange>;
 	private readonly keys = new Map<string, StoredKey>();
 	private readonly leases = new Map<string, Lease>();
@@ -43,18 +45,23 @@
 		return this.keys.get(key);
 	}
 
-	/** Entries with `from` ≤ key < `to`, in order; `to` undefined means the one key. */
-	range(from: string, to: string | undefined): StoredKey[] {
-		if (to === undefined) {
-			const entry = this.keys.get(from);
-			return entry ? [entry] : [];
-		}
-
+	/** Entries whose key begins with a prefix, in order. */
+	list(prefix: string): StoredKey[] {
 		return [...this.keys.values()]
-			.filter(entry => entry.key >= from && entry.key < to)
+			.filter(entry => entry.key.startsWith(prefix))
 			.sort((left, right) => left.key < right.key ? -1 : 1);
 	}
 
+	/** Discards the history of changes. */
+	forgetHistory(): void {
+		this.history.length = 0;
+		this.forgottenRevision = this.revision;
+	}
+
+	hasLease(leaseId: string): boolean {
+		return this.leases.has(leaseId);
+	}
+
 	/** Changes since a revision, that one included. */
 	changesSince(revision: number): KeyChange[] {
 		return this.history.filter(change => change.revision >= revision);
@@ -64,7 +71,7 @@
 	put(key: string, value: string, leaseId: string | undefined): StoredKey {
 		const lease = leaseId === undefined ? undefined : this.leases.get(leaseId);
 		if (leaseId !== undefined && !lease) {
-			throw new Error('etcdserver: requested lease not found');
+			throw new Error('lease not found');
 		}
 
 		const previous = this.keys.get(key);
--- a/standins/store/test/etcd-store-service.test.ts
+++ b/standins/store/test/kv-store-service.test.ts
@@ -78,7 +78,7 @@
 	await sleep(pollMs * 4);
 	standIn.setFaults({silent: true});
 	await t.throwsAsync(store.compareAndSwap('/a', 0, 'one'), {message: /did not answer/v});
-	t.false('/v3/kv/txn' in standIn.callCounts());
+	t.false('kv-txn' in standIn.callCounts());
 	const second = await store.compareAndSwap('/a', 0, 'two');
 	t.true(second.swapped);
 });
@@ -103,7 +103,7 @@
 	standIn.setFaults({silentWatches: true});
 	const second = await store.compareAndSwap('/w/a', modRevision, 'two');
 	await recorder.waitFor('/w/a', 'two');
-	while (standIn.callCounts()['/v3/watch'] < 2) {
+	while (standIn.callCounts()['kv-watch'] < 2) {
 		await sleep(pollMs);
 	}
 
--- a/standins/store/test/open-store.ts
+++ b/standins/store/test/open-store.ts
@@ -2,7 +2,7 @@
 import {FixedSettingsService} from '../../../src/runtime/settings/fixed-settings-service.js';
 import {type NodeSettings} from '../../../src/runtime/settings/node-settings.js';
 import {SettingsService} from '../../../src/runtime/settings/settings-service.js';
-import {EtcdStoreService} from '../../../src/runtime/store/etcd-store-service.js';
+import {KvStoreService} from '../../../src/platform/store/kv-store-service.js';
 import {StoreService} from '../../../src/runtime/store/store-service.js';
 import {type StoreFaults} from '../store-faults.js';
 import {StoreStandIn} from '../store-stand-in.js';
@@ -28,7 +28,7 @@
 	} as unknown as NodeSettings;
 	const kernel = new Kernel()
 		.registerInstance(SettingsService, new FixedSettingsService(settings))
-		.register(StoreService, EtcdStoreService);
+		.register(StoreService, KvStoreService);
 	t.teardown(() => {
 		kernel.dispose();
 		standIn.dispose();
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,4 +1,4 @@
-const layers = ['base', 'runtime', 'services', 'programs'];
+const layers = ['base', 'runtime', 'services', 'platform', 'programs'];
 
 /** Forbids a layer to import from the layers above it. */
 const layerRule = (layer, index) => ({
@@ -49,8 +49,8 @@
 		},
 	},
 	{
-		// The etcd gateway's messages have names of its own.
-		files: ['src/runtime/store/etcd-*.ts', 'src/runtime/store/to-store-entry.ts', 'standins/store/*.ts'],
+		// The platform's messages have names of their own.
+		files: ['src/platform/**/*.ts', 'standins/store/*.ts'],
 		rules: {
 			'@typescript-eslint/naming-convention': 'off',
 		},
