Pass remaining time and raw bytes between nodes; build into target/

Cause: clocks on the platform step by seconds, and bodies went as base64 in JSON. A call now carries what is left of its time and the sender's clock since the connection was opened; how late it came is judged by steady clocks alone, and the bar against late copies lasts the longer of both ends' doubts. Bodies travel as bytes beside the JSON text of a frame. Everything that a build makes is under target/, as the deploy file asks. Excluded: a shared epoch from hellos in both directions, which a stalled process would shift for good.

--- a/ava.config.js
+++ b/ava.config.js
@@ -1,5 +1,5 @@
 const config = {
-	files: ['out/**/test/**/*.test.js'],
+	files: ['target/out/**/test/**/*.test.js'],
 	timeout: '3m',
 	concurrency: 4,
 	snapshotDir: 'snapshots',
--- a/bench/added-latency/floor-entry.ts
+++ b/bench/added-latency/floor-entry.ts
@@ -26,7 +26,7 @@
 
 upstream.on('data', chunk => {
 	for (const frame of decoder.push(chunk)) {
-		const {id, status = 500, bodyBase64} = JSON.parse(frame) as FloorMessage;
+		const {id, status = 500, bodyBase64} = JSON.parse(frame.json) as FloorMessage;
 		const body = Buffer.from(bodyBase64, 'base64');
 		const response = waiting.get(id);
 		waiting.delete(id);
--- a/bench/added-latency/floor-upstream.ts
+++ b/bench/added-latency/floor-upstream.ts
@@ -24,7 +24,7 @@
 	const decoder = new FrameDecoder(maxFrameBytes);
 	socket.on('data', chunk => {
 		for (const frame of decoder.push(chunk)) {
-			void answer(JSON.parse(frame) as FloorMessage, socket);
+			void answer(JSON.parse(frame.json) as FloorMessage, socket);
 		}
 	});
 });
--- a/bench/overload/run.ts
+++ b/bench/overload/run.ts
@@ -28,7 +28,7 @@
 /**
 Runs the same load with the same trigger against each system in turn.
 
-`--setup small|misled|perth|lahore`; `--against DIR` adds the build in DIR/dist; `--without NAME` adds this build with a simpler form;
+`--setup small|misled|perth|lahore`; `--against DIR` adds the build in DIR/target; `--without NAME` adds this build with a simpler form;
 `--only NAME` leaves out all systems but one.
 */
 export async function run({seed, args}: BenchOptions): Promise<OverloadReport> {
@@ -62,7 +62,7 @@
 	return [
 		new KumquatlineSystem('kumquatline'),
 		new BaselineSystem(),
-		...valuesOf(args, '--against').map(directory => new KumquatlineSystem(`against ${directory}`, resolve(directory, 'dist/kumquatline-node'))),
+		...valuesOf(args, '--against').map(directory => new KumquatlineSystem(`against ${directory}`, resolve(directory, 'target/kumquatline-node'))),
 		...valuesOf(args, '--without').map(name => new KumquatlineSystem(`without ${name}`, variantFile, ['--without', name])),
 	];
 }
--- a/prove/naive/ordered-peer-service.ts
+++ b/prove/naive/ordered-peer-service.ts
@@ -111,7 +111,7 @@
 		socket.on('data', chunk => {
 			try {
 				for (const frame of decoder.push(chunk)) {
-					receive(frame);
+					receive(frame.json);
 				}
 			} catch {
 				socket.destroy();
--- a/prove/policy/operator.ts
+++ b/prove/policy/operator.ts
@@ -4,7 +4,7 @@
 import {fileURLToPath} from 'node:url';
 import {type ExitStatus} from '../../src/programs/cli/exit-status.js';
 
-const cliFile = fileURLToPath(new URL('../../../dist/kumquatline', import.meta.url));
+const cliFile = fileURLToPath(new URL('../../../kumquatline', import.meta.url));
 
 type OperatorOutcome = {
 	readonly status: ExitStatus;
--- a/scripts/build.js
+++ b/scripts/build.js
@@ -1,4 +1,4 @@
-// Bundles each program into one executable file under dist/.
+// Bundles each program into one executable file under target/.
 import {chmod, mkdir} from 'node:fs/promises';
 import {build} from 'esbuild';
 
@@ -7,9 +7,9 @@
 	['kumquatline', 'src/programs/cli/main.ts'],
 ]);
 
-await mkdir('dist', {recursive: true});
+await mkdir('target', {recursive: true});
 for (const [name, entryPoint] of programs) {
-	const outfile = `dist/${name}`;
+	const outfile = `target/${name}`;
 
 	await build({
 		entryPoints: [entryPoint],
--- a/src/programs/node/test/node-program.test.ts
+++ b/src/programs/node/test/node-program.test.ts
@@ -5,7 +5,7 @@
 import test from 'ava';
 
 const run = promisify(execFile);
-const program = fileURLToPath(new URL('../../../../../dist/kumquatline-node', import.meta.url));
+const program = fileURLToPath(new URL('../../../../../kumquatline-node', import.meta.url));
 const required = ['--node-id', 'a1', '--availability-zone', 'north', '--store-urls', 'http://127.0.0.1:2379'];
 
 type Ended = {readonly code: number; readonly stdout: string; readonly stderr: string};
--- a/src/runtime/peer/call-memory.ts
+++ b/src/runtime/peer/call-memory.ts
@@ -97,7 +97,7 @@
 	}
 
 	private sweep(): void {
-		const nowMs = Date.now();
+		const nowMs = performance.now();
 		if (nowMs - this.sweptAtMs < sweepIntervalMs) {
 			return;
 		}
--- a/src/runtime/peer/call-receiver.ts
+++ b/src/runtime/peer/call-receiver.ts
@@ -14,7 +14,8 @@
 import {type PeerCall} from './peer-service.js';
 import {type WireCall} from './wire-call.js';
 
-type CancelParams = {readonly id: string; readonly deadlineAtMs: number};
+type CancelParams = {readonly id: string; readonly timeoutMs: number};
+type ReceivedCall = {readonly id: string; readonly method: string; readonly params: unknown};
 type Handler = (params: unknown, call: PeerCall) => Promise<unknown>;
 
 /** Code of errors whose data is a `WireError`. */
@@ -26,38 +27,37 @@
 	private readonly handlers = new Map<string, Handler>();
 	private readonly memory = new CallMemory();
 
-	constructor(private readonly clockSkewBoundMs: number, private readonly metrics: MetricsService) {
+	/** A copy of a call may arrive by `copyBoundMs` later than it seems to. */
+	constructor(private readonly copyBoundMs: number, private readonly metrics: MetricsService) {
 		this.server.addMethod('ping', () => true);
 		this.server.addMethod('retire', (_params, connection) => {
 			connection.acceptRetirement();
 			return true;
 		});
 		this.server.addMethod('cancel', (params: Partial<CancelParams> | undefined, connection) => {
-			if (typeof params?.id === 'string' && typeof params.deadlineAtMs === 'number') {
-				this.cancel(params.id, connection.knownPeer!, params.deadlineAtMs);
+			if (typeof params?.id === 'string' && typeof params.timeoutMs === 'number') {
+				this.cancel(params.id, connection.knownPeer!, params.timeoutMs);
 			}
 		});
 	}
 
 	handle(method: string, handler: Handler): Disposable {
 		this.handlers.set(method, handler);
-		this.server.addMethodAdvanced(method, async (request, connection) => this.respond(request, connection.knownPeer!));
+		this.server.addMethodAdvanced(method, async (request, connection) => this.respond(request, connection));
 		return toDisposable(() => {
 			this.handlers.delete(method);
 			this.server.removeMethod(method);
 		});
 	}
 
-	/** Runs a call, or joins the one of the same id. */
-	async receive(id: string, method: string, wireCall: WireCall, from: PeerIdentity): Promise<CallOutcome> {
+	/** Runs a call that may take so long, or joins the one of the same id. */
+	async receive({id, method, params}: ReceivedCall, timeoutMs: number, from: PeerIdentity): Promise<CallOutcome> {
 		const known = this.memory.join(id, from.nodeId);
 		if (known) {
 			return known;
 		}
 
-		const nowMs = Date.now();
-		const startByMs = wireCall.deadlineAtMs + this.clockSkewBoundMs;
-		if (nowMs > startByMs) {
+		if (timeoutMs <= 0) {
 			return {error: {kind: ErrorKind.DeadlineExceeded, message: 'the call arrived after its deadline', started: false}};
 		}
 
@@ -65,22 +65,27 @@
 			return {error: {kind: ErrorKind.Overloaded, message: 'the node remembers as many calls as it can', started: false}};
 		}
 
-		const expiresAtMs = Math.max(startByMs, nowMs + wireCall.timeoutMs);
-		return this.memory.begin(id, from.nodeId, expiresAtMs, async controller => this.run(id, method, wireCall, from, controller));
+		const call = {id, method, params};
+		return this.memory.begin(id, from.nodeId, this.expiryAfter(timeoutMs), async controller => this.run(call, timeoutMs, from, controller));
 	}
 
-	cancel(id: string, from: PeerIdentity, deadlineAtMs: number): void {
-		this.memory.cancel(id, from.nodeId, deadlineAtMs + this.clockSkewBoundMs);
+	cancel(id: string, from: PeerIdentity, timeoutMs: number): void {
+		this.memory.cancel(id, from.nodeId, this.expiryAfter(timeoutMs));
 	}
 
 	dispose(): void {
 		this.memory.abortAll();
 	}
 
-	private async run(id: string, method: string, wireCall: WireCall, from: PeerIdentity, controller: AbortController): Promise<CallOutcome> {
+	/** Steady clock after which no copy of a call may begin any more. */
+	private expiryAfter(timeoutMs: number): number {
+		return performance.now() + Math.max(0, timeoutMs) + this.copyBoundMs;
+	}
+
+	private async run({id, method, params}: ReceivedCall, timeoutMs: number, from: PeerIdentity, controller: AbortController): Promise<CallOutcome> {
 		const timer = setTimeout(() => {
 			controller.abort(new KumquatlineError(ErrorKind.DeadlineExceeded, 'the call took too long'));
-		}, Math.max(0, wireCall.timeoutMs));
+		}, timeoutMs);
 		try {
 			const handler = this.handlers.get(method);
 			if (!handler) {
@@ -88,7 +93,7 @@
 			}
 
 			const callId = id.slice(method.length + 1);
-			return {result: await handler(wireCall.params, {from, callId, signal: controller.signal})};
+			return {result: await handler(params, {from, callId, signal: controller.signal})};
 		} catch (error) {
 			return {error: toWireError(error)};
 		} finally {
@@ -96,14 +101,16 @@
 		}
 	}
 
-	private async respond(request: JSONRPCRequest, from: PeerIdentity): Promise<JSONRPCResponse> {
+	private async respond(request: JSONRPCRequest, connection: PeerConnection): Promise<JSONRPCResponse> {
 		const id = String(request.id);
 		if (!id.startsWith(`${request.method}/`) || !isWireCall(request.params)) {
 			this.metrics.count('peer.protocol_errors');
 			return createJSONRPCErrorResponse(id, JSONRPCErrorCode.InvalidParams, 'malformed call');
 		}
 
-		const outcome = await this.receive(id, request.method, request.params, from);
+		const {timeoutMs, sentAtMs, params} = request.params;
+		const leftMs = timeoutMs - connection.latenessMs(sentAtMs);
+		const outcome = await this.receive({id, method: request.method, params}, leftMs, connection.knownPeer!);
 		if (outcome.error) {
 			return createJSONRPCErrorResponse(id, applicationErrorCode, outcome.error.message, outcome.error);
 		}
@@ -113,6 +120,6 @@
 }
 
 function isWireCall(params: unknown): params is WireCall {
-	const {timeoutMs, deadlineAtMs} = (params ?? {}) as Partial<WireCall>;
-	return typeof timeoutMs === 'number' && typeof deadlineAtMs === 'number';
+	const {timeoutMs, sentAtMs} = (params ?? {}) as Partial<WireCall>;
+	return typeof timeoutMs === 'number' && typeof sentAtMs === 'number';
 }
--- a/src/runtime/peer/estimate-size-bytes.ts
+++ b/src/runtime/peer/estimate-size-bytes.ts
@@ -6,6 +6,10 @@
 		return value.length + scalarBytes;
 	}
 
+	if (value instanceof Uint8Array) {
+		return value.length + scalarBytes;
+	}
+
 	if (typeof value !== 'object' || value === null) {
 		return scalarBytes;
 	}
--- a/src/runtime/peer/frame-channel.ts
+++ b/src/runtime/peer/frame-channel.ts
@@ -2,11 +2,12 @@
 import {Deferred} from '../../base/deferred.js';
 import {type Disposable} from '../../base/disposable.js';
 import {encodeFrame} from './encode-frame.js';
+import {type Frame} from './frame.js';
 import {FrameDecoder} from './frame-decoder.js';
 
 type FrameHandlers = {
 	/** Takes a frame; throws when it makes no sense. */
-	receive(frame: string): void;
+	receive(frame: Frame): void;
 	/** Part of a frame came, its end not yet. */
 	progress(): void;
 	/** The bytes make no sense; nothing after them is read. */
@@ -14,14 +15,14 @@
 	closed(): void;
 };
 
-/** An answer of the greatest size that a policy allows, in base64, and its headers fit in. */
-const maxFrameBytes = 4_194_304;
+/** A body of 64 MiB, the greatest that policies allow, and its head fit in. */
+const maxFrameBytes = 68_157_440;
 /** Bytes waiting to be sent above which new calls wait. */
 const highWaterBytes = 1_048_576;
 /** Bytes waiting to be sent above which the reader counts as stuck. */
 const maxWaitingBytes = 33_554_432;
 
-/** JSON texts in length-prefixed frames over one TCP socket. */
+/** JSON texts, with bytes attached to some, in length-prefixed frames over one TCP socket. */
 export class FrameChannel implements Disposable {
 	private readonly decoder = new FrameDecoder(maxFrameBytes);
 	private closed = false;
@@ -46,9 +47,9 @@
 		return this.socket.writableLength > maxWaitingBytes;
 	}
 
-	send(payload: unknown): void {
+	send(payload: unknown, attachment?: Uint8Array): void {
 		if (!this.closed) {
-			this.socket.write(encodeFrame(JSON.stringify(payload)));
+			this.socket.write(encodeFrame(JSON.stringify(payload), attachment));
 		}
 	}
 
--- a/src/runtime/peer/frame-decoder.ts
+++ b/src/runtime/peer/frame-decoder.ts
@@ -1,8 +1,9 @@
 import {Buffer} from 'node:buffer';
 import {ErrorKind} from '../../base/error-kind.js';
 import {KumquatlineError} from '../../base/kumquatline-error.js';
+import {type Frame} from './frame.js';
 
-/** Size of the length that precedes each frame. */
+/** Size of each of the two lengths that precede a frame. */
 const headerBytes = 4;
 
 /** Cuts a byte stream into length-prefixed frames (unsigned, big-endian). */
@@ -14,7 +15,7 @@
 	constructor(private readonly maxFrameBytes: number) {}
 
 	/** Yields the frames that a chunk completes; throws `peer-protocol` for one that is too long. */
-	* push(chunk: Uint8Array): Generator<string> {
+	* push(chunk: Uint8Array): Generator<Frame> {
 		this.chunks.push(chunk);
 		this.bufferedBytes += chunk.length;
 		while (this.bufferedBytes >= this.neededBytes) {
@@ -28,7 +29,7 @@
 			}
 
 			this.keep(buffer.subarray(endBytes));
-			yield buffer.toString('utf8', headerBytes, endBytes);
+			yield split(buffer.subarray(headerBytes, endBytes));
 		}
 	}
 
@@ -53,3 +54,15 @@
 		this.neededBytes = headerBytes;
 	}
 }
+
+/** Parts what follows the length of a frame into its text and the bytes attached to it. */
+function split(content: Uint8Array): Frame {
+	const buffer = Buffer.from(content.buffer, content.byteOffset, content.length);
+	const jsonBytes = buffer.length < headerBytes ? buffer.length : buffer.readUInt32BE(0);
+	const attachmentAt = headerBytes + jsonBytes;
+	if (attachmentAt > buffer.length) {
+		throw new KumquatlineError(ErrorKind.PeerProtocol, `frame of ${buffer.length} bytes can't hold a text of ${jsonBytes}`);
+	}
+
+	return {json: buffer.toString('utf8', headerBytes, attachmentAt), attachment: buffer.subarray(attachmentAt)};
+}
--- a/src/runtime/peer/framed-peer-service.ts
+++ b/src/runtime/peer/framed-peer-service.ts
@@ -21,6 +21,8 @@
 
 /** How much longer than its time a call waits for the peer's own word on how it ended. */
 const replyGraceMs = 50;
+/** Lateness of a copy is underestimated by the time that a hello may take, at either end of its way. */
+const copyBoundFactor = 2;
 const maxIdleMs = 60_000;
 const tidyIntervalMs = 10_000;
 
@@ -42,7 +44,7 @@
 		@MetricsService private readonly metrics: MetricsService,
 	) {
 		this.port = settingsService.settings.peerPort;
-		this.receiver = new CallReceiver(settingsService.settings.clockSkewBoundMs, metrics);
+		this.receiver = new CallReceiver(settingsService.settings.abandonAfterMs * copyBoundFactor, metrics);
 	}
 
 	get self(): PeerAddress {
@@ -70,7 +72,7 @@
 			id: `${method.name}/${options.callId ?? createUuid()}`,
 			method: method.name,
 			params,
-			deadlineAtMs: Date.now() + options.timeoutMs,
+			endsAtMs: performance.now() + options.timeoutMs,
 			sent: false,
 			ended: false,
 		};
@@ -99,9 +101,8 @@
 	private async callSelf(call: LinkCall, options: PeerCallOptions): Promise<unknown> {
 		call.sent = true;
 		const {self} = this;
-		const wireCall = {timeoutMs: options.timeoutMs, deadlineAtMs: call.deadlineAtMs, params: call.params};
-		const outcome = await this.untilEnd(call, options, this.receiver.receive(call.id, call.method, wireCall, self), () => {
-			this.receiver.cancel(call.id, self, call.deadlineAtMs);
+		const outcome = await this.untilEnd(call, options, this.receiver.receive(call, options.timeoutMs, self), () => {
+			this.receiver.cancel(call.id, self, call.endsAtMs - performance.now());
 		});
 		if (outcome.error) {
 			throw fromWireError(outcome.error);
--- a/src/runtime/peer/peer-connection.ts
+++ b/src/runtime/peer/peer-connection.ts
@@ -12,9 +12,12 @@
 import {KumquatlineError} from '../../base/kumquatline-error.js';
 import {type LogService} from '../log/log-service.js';
 import {type MetricsService} from '../metrics/metrics-service.js';
+import {attach, detach} from './attachment.js';
 import {FrameChannel} from './frame-channel.js';
 import {type PeerIdentity} from './peer-identity.js';
 import {SilenceWatch} from './silence-watch.js';
+import {TransitClock} from './transit-clock.js';
+import {type WireCall} from './wire-call.js';
 
 export type PeerConnectionOptions = {
 	readonly self: PeerIdentity;
@@ -36,8 +39,9 @@
 	private readonly pending = new Map<string, Promise<JSONRPCResponse>>();
 	private readonly channel: FrameChannel;
 	private readonly silence: SilenceWatch;
-	private readonly client = new JSONRPCClient(payload => {
-		this.channel.send(payload);
+	private readonly transit = new TransitClock();
+	private readonly client = new JSONRPCClient<Uint8Array | undefined>((payload: unknown, attachment) => {
+		this.channel.send(payload, attachment);
 	});
 
 	private answering = 0;
@@ -55,8 +59,8 @@
 			},
 		});
 		this.channel = new FrameChannel(socket, {
-			receive: frame => {
-				this.receive(JSON.parse(frame));
+			receive: ({json, attachment}) => {
+				this.receive(JSON.parse(json), attachment);
 			},
 			progress: () => {
 				this.silence.noteReceived();
@@ -69,7 +73,7 @@
 			},
 		});
 		void ignoreFailure(this.identified.promise);
-		this.channel.send(createJSONRPCNotification(helloMethod, options.self));
+		this.channel.send(createJSONRPCNotification(helloMethod, {...options.self, sentAtMs: this.transit.nowMs}));
 	}
 
 	/** Identity of the other end once it has said hello; rejected when the connection closes before. */
@@ -104,13 +108,13 @@
 		return this.channel.whenWritable();
 	}
 
-	/** Sends a request; undefined when the connection is lost before the response. */
-	async request(id: string, method: string, params: unknown): Promise<JSONRPCResponse | undefined> {
+	/** Sends a call with the time left for it; undefined when the connection is lost before the response. */
+	async request(id: string, method: string, timeoutMs: number, params: unknown): Promise<JSONRPCResponse | undefined> {
 		if (this.isClosed) {
 			return undefined;
 		}
 
-		const response = await (this.pending.get(id) ?? this.sendRequest(id, method, params));
+		const response = await (this.pending.get(id) ?? this.sendCall(id, method, timeoutMs, params));
 		return this.isClosed && !isAnswered(response) ? undefined : response;
 	}
 
@@ -134,6 +138,11 @@
 		await this.channel.finish();
 	}
 
+	/** How long a message that has just come was held up. */
+	latenessMs(sentAtMs: number): number {
+		return this.transit.noteArrival(sentAtMs);
+	}
+
 	notify(method: string, params: unknown): void {
 		this.channel.send(createJSONRPCNotification(method, params));
 	}
@@ -142,8 +151,14 @@
 		this.channel.dispose();
 	}
 
-	private async sendRequest(id: string, method: string, params: unknown): Promise<JSONRPCResponse> {
-		const response = Promise.resolve(this.client.requestAdvanced(createJSONRPCRequest(id, method, params)));
+	private async sendCall(id: string, method: string, timeoutMs: number, params: unknown): Promise<JSONRPCResponse> {
+		const {value, attachment} = detach(params);
+		const call: WireCall = {timeoutMs, sentAtMs: this.transit.nowMs, params: value};
+		return this.sendRequest(id, method, call, attachment);
+	}
+
+	private async sendRequest(id: string, method: string, params: unknown, attachment?: Uint8Array): Promise<JSONRPCResponse> {
+		const response = Promise.resolve(this.client.requestAdvanced(createJSONRPCRequest(id, method, params), attachment));
 		this.pending.set(id, response);
 		this.silence.begin();
 		try {
@@ -155,12 +170,13 @@
 		}
 	}
 
-	private receive(payload: unknown): void {
+	private receive(payload: unknown, attachment: Uint8Array): void {
 		if (this.isClosed) {
 			return;
 		}
 
 		if (isJSONRPCResponse(payload)) {
+			attach(payload.result, attachment);
 			this.receiveResponse(payload);
 			return;
 		}
@@ -171,7 +187,7 @@
 
 		this.silence.noteReceived();
 		if (payload.method === helloMethod) {
-			this.receiveHello(payload.params as PeerIdentity);
+			this.receiveHello(payload.params as PeerIdentity & {readonly sentAtMs: number});
 			return;
 		}
 
@@ -179,6 +195,7 @@
 			throw new KumquatlineError(ErrorKind.PeerProtocol, 'request before the hello');
 		}
 
+		attach((payload.params as Partial<WireCall> | undefined)?.params, attachment);
 		void this.answer(payload);
 	}
 
@@ -193,8 +210,8 @@
 		this.client.receive(response);
 	}
 
-	private receiveHello(hello: PeerIdentity): void {
-		if (typeof hello?.nodeId !== 'string' || typeof hello.incarnation !== 'string') {
+	private receiveHello(hello: PeerIdentity & {readonly sentAtMs: number}): void {
+		if (typeof hello?.nodeId !== 'string' || typeof hello.incarnation !== 'string' || typeof hello.sentAtMs !== 'number') {
 			throw new KumquatlineError(ErrorKind.PeerProtocol, 'malformed hello');
 		}
 
@@ -202,6 +219,7 @@
 			throw new KumquatlineError(ErrorKind.PeerProtocol, 'a second hello names another run of a node');
 		}
 
+		this.transit.noteArrival(hello.sentAtMs);
 		this.identity = {nodeId: hello.nodeId, incarnation: hello.incarnation};
 		this.identified.resolve(this.identity);
 	}
@@ -211,14 +229,19 @@
 		const response = await this.options.server.receive(request, this);
 		this.answering--;
 		this.usedAtMs = performance.now();
+		this.refuseStuckReader();
 		if (response) {
-			this.channel.send(response);
+			const {value, attachment} = detach(response.result as unknown);
+			this.channel.send(attachment ? {...response, result: value} : response, attachment);
 		}
 
 		if (this.answering === 0) {
 			this.answeredEmitter.fire();
 		}
+	}
 
+	/** Gives up the other end if it has let too much pile up; checked before a reply is added, so that any single one may go out. */
+	private refuseStuckReader(): void {
 		if (!this.isClosed && this.channel.isStuck) {
 			this.options.metrics.count('peer.stuck_readers');
 			this.dispose();
--- a/src/runtime/peer/peer-link.ts
+++ b/src/runtime/peer/peer-link.ts
@@ -11,7 +11,8 @@
 	readonly id: string;
 	readonly method: string;
 	readonly params: unknown;
-	readonly deadlineAtMs: number;
+	/** Steady clock at which its time is over. */
+	readonly endsAtMs: number;
 	/** Whether bytes of the call may have reached the peer. */
 	sent: boolean;
 	/** Whether the call's time is over or its caller gone. */
@@ -54,7 +55,7 @@
 	/** Tells the peer that nobody waits for a call any more. */
 	cancel(call: LinkCall): void {
 		if (call.sent) {
-			this.connection?.notify('cancel', {id: call.id, deadlineAtMs: call.deadlineAtMs});
+			this.connection?.notify('cancel', {id: call.id, timeoutMs: call.endsAtMs - performance.now()});
 		}
 	}
 
@@ -72,11 +73,7 @@
 			}
 
 			call.sent = true;
-			const response = await connection.request(call.id, call.method, {
-				timeoutMs: call.deadlineAtMs - Date.now(),
-				deadlineAtMs: call.deadlineAtMs,
-				params: call.params,
-			});
+			const response = await connection.request(call.id, call.method, call.endsAtMs - performance.now(), call.params);
 			if (response) {
 				return resultOf(response);
 			}
--- a/src/runtime/peer/test/back-pressure.test.ts
+++ b/src/runtime/peer/test/back-pressure.test.ts
@@ -31,10 +31,10 @@
 	const socket = connect(right.peers.self.peerPort, '127.0.0.1');
 	socket.on('error', () => undefined);
 	socket.pause();
-	socket.write(encodeFrame('{"jsonrpc":"2.0","method":"hello","params":{"nodeId":"raw","incarnation":"raw"}}'));
+	socket.write(encodeFrame('{"jsonrpc":"2.0","method":"hello","params":{"nodeId":"raw","incarnation":"raw","sentAtMs":0}}'));
 	for (let index = 0; index < 60; index++) {
 		socket.write(encodeFrame(JSON.stringify({
-			jsonrpc: '2.0', id: `echo/${index}`, method: 'echo', params: {timeoutMs, deadlineAtMs: Date.now() + timeoutMs, params: {text: 'x'}},
+			jsonrpc: '2.0', id: `echo/${index}`, method: 'echo', params: {timeoutMs, sentAtMs: 0, params: {text: 'x'}},
 		})));
 	}
 
--- a/src/runtime/peer/test/bad-frames.test.ts
+++ b/src/runtime/peer/test/bad-frames.test.ts
@@ -9,7 +9,7 @@
 import {startPeer} from './peer-fixture.js';
 
 const echo = new PeerMethod<{text: string}, {text: string}>('echo');
-const hello = encodeFrame('{"jsonrpc":"2.0","method":"hello","params":{"nodeId":"raw","incarnation":"raw"}}');
+const hello = encodeFrame('{"jsonrpc":"2.0","method":"hello","params":{"nodeId":"raw","incarnation":"raw","sentAtMs":0}}');
 const tooLong = Buffer.alloc(4, 0xFF);
 
 const badBytes: ReadonlyArray<readonly [name: string, bytes: Uint8Array]> = [
@@ -67,7 +67,7 @@
 	const right = await startPeer('right');
 	right.peers.handle(echo, async ({text}) => ({text}));
 	const request = (id: number) => encodeFrame(JSON.stringify({
-		jsonrpc: '2.0', id: `echo/${id}`, method: 'echo', params: {timeoutMs: 5000, deadlineAtMs: Date.now() + 5000, params: {text: `é${id}`}},
+		jsonrpc: '2.0', id: `echo/${id}`, method: 'echo', params: {timeoutMs: 5000, sentAtMs: 0, params: {text: `é${id}`}},
 	}));
 	const socket = connect(right.peers.self.peerPort, '127.0.0.1');
 	await once(socket, 'connect');
--- a/src/runtime/peer/test/call-memory.test.ts
+++ b/src/runtime/peer/test/call-memory.test.ts
@@ -7,12 +7,12 @@
 const largeText = 'x'.repeat(5_000_000);
 
 test.serial('a call is remembered until no copy of it may begin, and not for ever', async t => {
-	const clock = install({now: 1_000_000, toFake: ['Date']});
+	const clock = install({now: 1_000_000, toFake: ['performance']});
 	t.teardown(() => {
 		clock.uninstall();
 	});
 	const memory = new CallMemory();
-	await memory.begin('a', 'left', Date.now() + 5000, async () => ({result: 1}));
+	await memory.begin('a', 'left', performance.now() + 5000, async () => ({result: 1}));
 	clock.tick(5000);
 	t.false(memory.isFull);
 	t.deepEqual(await memory.join('a', 'left'), {result: 1});
@@ -24,27 +24,27 @@
 test.serial('a call ends early only when nobody waits for it any more', t => {
 	const memory = new CallMemory();
 	let signal: AbortSignal | undefined;
-	void memory.begin('a', 'left', Date.now() + 5000, async controller => {
+	void memory.begin('a', 'left', performance.now() + 5000, async controller => {
 		signal = controller.signal;
 		return new Deferred<CallOutcome>().promise;
 	});
 	void memory.join('a', 'right');
-	memory.cancel('a', 'left', Date.now() + 5000);
+	memory.cancel('a', 'left', performance.now() + 5000);
 	t.false(signal?.aborted);
-	memory.cancel('a', 'right', Date.now() + 5000);
+	memory.cancel('a', 'right', performance.now() + 5000);
 	t.true(signal?.aborted);
 });
 
 test.serial('a call that was cancelled before it arrived is not run', async t => {
 	const memory = new CallMemory();
-	memory.cancel('a', 'left', Date.now() + 5000);
+	memory.cancel('a', 'left', performance.now() + 5000);
 	t.like(await memory.join('a', 'left'), {error: {kind: 'caller-gone', started: false}});
 });
 
 test.serial('of outcomes that are too large together the oldest is given up, but not run again', async t => {
 	const memory = new CallMemory();
 	for (const key of ['a', 'b', 'c', 'd']) {
-		await memory.begin(key, 'left', Date.now() + 60_000, async () => ({result: largeText}));
+		await memory.begin(key, 'left', performance.now() + 60_000, async () => ({result: largeText}));
 	}
 
 	await Promise.resolve();
--- a/src/runtime/peer/test/frame-decoder.test.ts
+++ b/src/runtime/peer/test/frame-decoder.test.ts
@@ -2,23 +2,25 @@
 import test from 'ava';
 import fc from 'fast-check';
 import {encodeFrame} from '../encode-frame.js';
+import {type Frame} from '../frame.js';
 import {FrameDecoder} from '../frame-decoder.js';
 
 const maxFrameBytes = 1000;
 const seed = 20_260;
 
 test(`frames come out whole and in order however the bytes are cut (seed ${seed})`, t => {
-	fc.assert(fc.property(fc.array(fc.string({unit: 'grapheme', maxLength: 60})), fc.array(fc.integer({min: 1, max: 40}), {minLength: 1}), (texts, cuts) => {
-		const bytes = Buffer.concat(texts.map(text => encodeFrame(text)));
+	const messages = fc.array(fc.record({json: fc.string({unit: 'grapheme', maxLength: 60}), attachment: fc.uint8Array({maxLength: 60})}));
+	fc.assert(fc.property(messages, fc.array(fc.integer({min: 1, max: 40}), {minLength: 1}), (sent, cuts) => {
+		const bytes = Buffer.concat(sent.map(({json, attachment}) => encodeFrame(json, attachment)));
 		const decoder = new FrameDecoder(maxFrameBytes);
-		const frames: string[] = [];
+		const frames: Frame[] = [];
 		for (let offset = 0, turn = 0; offset < bytes.length; turn++) {
 			const lengthBytes = cuts[turn % cuts.length];
 			frames.push(...decoder.push(bytes.subarray(offset, offset + lengthBytes)));
 			offset += lengthBytes;
 		}
 
-		t.deepEqual(frames, texts);
+		t.deepEqual(frames.map(({json, attachment}) => ({json, attachment: Uint8Array.from(attachment)})), sent);
 	}), {seed});
 });
 
@@ -27,9 +29,15 @@
 	const frames: string[] = [];
 	const error = t.throws(() => {
 		for (const frame of decoder.push(Buffer.concat([encodeFrame('first'), encodeFrame('x'.repeat(maxFrameBytes + 1))]))) {
-			frames.push(frame);
+			frames.push(frame.json);
 		}
 	});
 	t.deepEqual(frames, ['first']);
 	t.like(error, {kind: 'peer-protocol'});
 });
+
+test('a text that claims more than its frame is refused', t => {
+	const frame = Buffer.from(encodeFrame('text'));
+	frame.writeUInt32BE(maxFrameBytes, 4);
+	t.throws(() => [...new FrameDecoder(maxFrameBytes).push(frame)], {message: /can't hold/v});
+});
--- a/src/runtime/peer/wire-call.ts
+++ b/src/runtime/peer/wire-call.ts
@@ -2,7 +2,7 @@
 export type WireCall = {
 	/** Remaining time when the call was sent. */
 	readonly timeoutMs: number;
-	/** Wall clock of the sender after which the call may not begin, however late its bytes arrive. */
-	readonly deadlineAtMs: number;
+	/** Sender's steady clock since the connection was opened; tells the receiver how long the bytes were held up. */
+	readonly sentAtMs: number;
 	readonly params: unknown;
 };
--- a/standins/graph/node-program.ts
+++ b/standins/graph/node-program.ts
@@ -5,7 +5,7 @@
 import {ChildProgram} from './child-program.js';
 import {type NodePlan} from './graph-plan.js';
 
-const nodeFile = fileURLToPath(new URL('../../../dist/kumquatline-node', import.meta.url));
+const nodeFile = fileURLToPath(new URL('../../../kumquatline-node', import.meta.url));
 
 type Ports = {
 	readonly callerPort: number;
--- a/xo.config.js
+++ b/xo.config.js
@@ -17,7 +17,7 @@
 });
 
 const config = [
-	{ignores: ['out/**', 'dist/**']},
+	{ignores: ['target/**']},
 	{
 		rules: {
 			// Services are numbered in the order in which constructors ask for them.
