--- a/src/services/exchange/strict-http-parser.ts
+++ b/src/services/exchange/strict-http-parser.ts
@@ -11,7 +11,7 @@
 	execute(bytes: Uint8Array): number | Error;
 	finish(): Error | undefined;
 	consumeLine(): string | undefined;
-	HEADER(): boolean | undefined; // eslint-disable-line @typescript-eslint/naming-convention
+	HEADER(): boolean | undefined;
 };
 
 const LenientParser = HTTPParser as unknown as new (type: 'RESPONSE') => HttpParserParts;
@@ -21,7 +21,6 @@
 
 /** The library's parser, refusing chunk heads and lengths that are not numbers, which it takes for the end of a body. */
 export class StrictHttpParser extends LenientParser {
-	// eslint-disable-next-line @typescript-eslint/naming-convention
 	protected BODY_CHUNKHEAD(): void {
 		const line = this.consumeLine();
 		if (line === undefined) {
--- a/src/services/policy/stored-policy-service.ts
+++ b/src/services/policy/stored-policy-service.ts
@@ -40,14 +40,14 @@
 /** The policy that the store holds, learned from the store or from peers, never an earlier version than before. */
 export class StoredPolicyService implements PolicyService, Disposable {
 	readonly onDidChange: Event<Policy>;
+	/** Key of the policy in the store. */
+	protected readonly key: string = policyKey;
 	private readonly disposables = new DisposableStore();
 	private readonly controller = new AbortController();
 	private readonly changeEmitter = this.disposables.add(new Emitter<Policy>());
 	private readonly random: RandomGenerator;
 	private readonly fetcher: PolicyFetcher;
 	private readonly writer: PolicyWriter;
-	/** Key of the policy in the store. */
-	protected readonly key: string = policyKey;
 	private policy: Policy | undefined;
 	/** Revision of the store's key that has the policy in force; 0 when not known. */
 	private modRevision = 0;
--- a/src/services/relay/relay-executor.ts
+++ b/src/services/relay/relay-executor.ts
@@ -128,7 +128,7 @@
 	/** The boot that takes work of a service now; throws when there is none. */
 	private checkInstance(service: string): InstanceReport {
 		const instance = this.instances.current;
-		if (!instance || instance.service !== service) {
+		if (instance?.service !== service) {
 			throw new KumquatlineError(ErrorKind.BackendUnreachable, `no backend server of ${service} here`, {started: false});
 		}
 
--- a/xo.config.js
+++ b/xo.config.js
@@ -43,14 +43,14 @@
 	},
 	{
 		// Such a file holds one interface and the identifier of the same name, nothing else.
-		files: ['src/**/*-service.ts'],
+		files: ['src/**/*-service.ts', 'src/runtime/http/header-names.ts', 'src/services/backend/instance-source.ts', 'src/services/relay/running-requests.ts'],
 		rules: {
 			'@typescript-eslint/naming-convention': 'off',
 		},
 	},
 	{
 		// The platform's messages have names of their own.
-		files: ['src/platform/**/*.ts', 'standins/store/*.ts'],
+		files: ['src/platform/**/*.ts', 'standins/store/*.ts', 'src/services/exchange/strict-http-parser.ts'],
 		rules: {
 			'@typescript-eslint/naming-convention': 'off',
 		},
