Choose upstreams by expected time and stop offering work to a dark backend server

Cause: utilisation alone sends to an upstream that answers nothing or fails, as its requests end late. Nodes now weigh the mean time and the fading share of failures of each upstream; the node beside a backend server, which sees all of its requests, passes them over at no cost while none is answered. A refusal by a backend server that runs little is no sign of overload and leaves the limit.

--- /dev/null
+++ b/src/services/backend/test/instance-board.test.ts
@@ -0,0 +1,59 @@
+import {install} from '@sinonjs/fake-timers';
+import test from 'ava';
+import {type RelaySettingsService} from '../../../runtime/settings/relay-settings-service.js';
+import {InstanceBoard} from '../instance-board.js';
+import {type InstanceReport} from '../instance-report.js';
+
+const log = {
+	debug() {/* Quiet. */}, info() {/* Quiet. */}, warn() {/* Quiet. */}, error() {/* Quiet. */},
+};
+const settings = {relay: {announceIntervalMs: 1500}} as unknown as RelaySettingsService;
+
+function report(instanceId: string, bornAtMs: number, sequence: number, draining = false): InstanceReport {
+	return {
+		instanceId, bornAtMs, sequence, draining, service: 's', slots: 1, coldLeftMs: 0,
+	};
+}
+
+function openBoard(): InstanceBoard {
+	return new InstanceBoard(settings, log);
+}
+
+test.serial('a late report of the same boot or an earlier one changes nothing', t => {
+	const board = openBoard();
+	board.report(report('b', 200, 5, true));
+	board.report(report('b', 200, 4));
+	board.report(report('a', 100, 99));
+	t.like(board.current, {instanceId: 'b', sequence: 5, draining: true});
+	board.report(report('c', 300, 1));
+	t.like(board.current, {instanceId: 'c', draining: false});
+	board.dispose();
+});
+
+test.serial('a boot that has left does not come back by a late report, a later boot under its id does', t => {
+	const board = openBoard();
+	board.report(report('a', 100, 5));
+	board.leave('a');
+	t.is(board.current, undefined);
+	board.report(report('a', 100, 6));
+	t.is(board.current, undefined);
+	board.report(report('a', 200, 1));
+	t.like(board.current, {instanceId: 'a', sequence: 1});
+	board.leave('b');
+	t.truthy(board.current);
+	board.dispose();
+});
+
+test.serial('a boot that reports no more counts as gone', t => {
+	const clock = install();
+	t.teardown(() => {
+		clock.uninstall();
+	});
+	const board = openBoard();
+	board.report(report('a', 100, 5));
+	clock.tick(5999);
+	t.truthy(board.current);
+	clock.tick(1);
+	t.is(board.current, undefined);
+	board.dispose();
+});
--- /dev/null
+++ b/src/services/exchange/test/pooled-exchange-service.test.ts
@@ -0,0 +1,155 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import test from 'ava';
+import {answerTo, openRawBackend} from './raw-backend.js';
+
+test('one connection carries requests in turn', async t => {
+	const {exchange, counts} = await openRawBackend(t, (socket, number) => {
+		socket.write(answerTo(`r${number}`));
+	});
+	t.like(await exchange('r1'), {status: 200, body: 'whole'});
+	t.like(await exchange('r2'), {status: 200, body: 'whole'});
+	t.deepEqual(counts(), {connections: 1, requests: 2});
+});
+
+const falseAnswers: ReadonlyArray<readonly [name: string, bytes: string]> = [
+	['an unsigned success', 'HTTP/1.1 200 OK\r\nid: r1\r\ncontent-length: 2\r\n\r\nok'],
+	['an encoded body', 'HTTP/1.1 200 OK\r\nid: r1\r\nsignature: s\r\ncontent-encoding: gzip\r\ncontent-length: 2\r\n\r\nok'],
+	['bytes that are no answer', 'SSH-2.0-what\r\n\r\n'],
+	['a malformed chunk', 'HTTP/1.1 200 OK\r\nid: r1\r\nsignature: s\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\nzz\r\n\r\n'],
+	['a malformed length', 'HTTP/1.1 200 OK\r\nid: r1\r\nsignature: s\r\ncontent-length: 2x\r\n\r\nok'],
+	['a refusal that does not say that the request has not run', answerTo('r1', '', '503 Service Unavailable')],
+];
+
+for (const [name, bytes] of falseAnswers) {
+	test(`${name} is no answer, and the request may have run`, async t => {
+		const {exchange} = await openRawBackend(t, socket => {
+			socket.write(bytes);
+		});
+		const error = await t.throwsAsync(exchange('r1'));
+		t.like(error, {kind: 'backend-failed', started: undefined});
+	});
+}
+
+test('an answer that ends early or is reset is not whole', async t => {
+	const {exchange} = await openRawBackend(t, async (socket, number) => {
+		if (number === 1) {
+			socket.end('HTTP/1.1 200 OK\r\nid: r1\r\nsignature: s\r\ncontent-length: 20\r\n\r\nhalf');
+			return;
+		}
+
+		// A connection that is closed with unread bytes is reset.
+		socket.pause();
+		socket.write(`HTTP/1.1 200 OK\r\nid: r${number}\r\nsignature: s\r\n\r\nhalf`);
+		await sleep(20);
+		socket.destroy();
+	});
+	t.like(await t.throwsAsync(exchange('r1')), {kind: 'backend-failed'});
+	t.like(await t.throwsAsync(exchange('r2', undefined, 'x'.repeat(8_000_000))), {kind: 'backend-failed'});
+});
+
+test('an answer without a length is whole when its connection ends in good order', async t => {
+	const {exchange} = await openRawBackend(t, socket => {
+		socket.end('HTTP/1.1 200 OK\r\nid: r1\r\nsignature: s\r\n\r\nup to the end');
+	});
+	t.like(await exchange('r1'), {status: 200, body: 'up to the end'});
+});
+
+test('marked refusals and another boot at the address did not run', async t => {
+	const {exchange} = await openRawBackend(t, (socket, number) => {
+		socket.write(number === 1
+			? 'HTTP/1.1 503 Service Unavailable\r\nid: r1\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n'
+			: 'HTTP/1.1 421 Misdirected Request\r\nid: r2\r\ncontent-length: 0\r\n\r\n');
+	});
+	t.like(await t.throwsAsync(exchange('r1')), {kind: 'backend-shed', started: false});
+	t.like(await t.throwsAsync(exchange('r2')), {kind: 'backend-shed', started: false});
+});
+
+test('a second answer behind the first condemns the connection', async t => {
+	const {exchange, counts, settle} = await openRawBackend(t, (socket, number) => {
+		socket.write(answerTo(`r${number}`) + answerTo(`r${number}`, 'second'));
+	});
+	t.like(await exchange('r1'), {body: 'whole'});
+	await settle();
+	t.like(await exchange('r2'), {body: 'whole'});
+	t.is(counts().connections, 2);
+});
+
+test('a late answer to an earlier request is passed over for the right one, and the connection is used no more', async t => {
+	const {exchange, counts} = await openRawBackend(t, (socket, number) => {
+		socket.write(number === 2 ? answerTo('r1', 'late') + answerTo('r2', 'right') : answerTo(`r${number}`));
+	});
+	await exchange('r1');
+	t.like(await exchange('r2'), {body: 'right'});
+	await exchange('r3');
+	t.is(counts().connections, 2);
+});
+
+test('a late refusal of an earlier request does not release this one', async t => {
+	const {exchange} = await openRawBackend(t, (socket, number) => {
+		socket.write(number === 1
+			? answerTo('r1')
+			: 'HTTP/1.1 503 Service Unavailable\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n');
+	});
+	await exchange('r1');
+	t.like(await t.throwsAsync(exchange('r2')), {kind: 'backend-failed', started: undefined});
+});
+
+test('an early answer leaves the rest of a long body to be read', async t => {
+	const body = 'x'.repeat(3_000_000);
+	let receivedBytes = 0;
+	const {exchange} = await openRawBackend(t, (socket, number) => {
+		if (number === 1) {
+			socket.on('data', bytes => {
+				receivedBytes += bytes.length;
+			});
+			socket.write(answerTo('r1', 'early'));
+		} else {
+			socket.write(answerTo('r2'));
+		}
+	});
+	t.like(await exchange('r1', undefined, body), {body: 'early'});
+	t.like(await exchange('r2'), {body: 'whole'});
+	t.true(receivedBytes >= body.length);
+});
+
+test('a request that is given up ends its connection, so that the backend server stops', async t => {
+	let isClosed = false;
+	const {exchange, settle} = await openRawBackend(t, socket => {
+		socket.on('close', () => {
+			isClosed = true;
+		});
+	});
+	const controller = new AbortController();
+	const given = t.throwsAsync(exchange('r1', controller.signal));
+	await settle();
+	controller.abort();
+	t.like(await given, {kind: 'backend-failed'});
+	await settle();
+	t.true(isClosed);
+});
+
+test('a connection that the backend server closes is not used again', async t => {
+	const {exchange, counts} = await openRawBackend(t, (socket, number) => {
+		socket.write(answerTo(`r${number}`).replace('\r\n\r\n', '\r\nconnection: close\r\n\r\n'));
+	});
+	await exchange('r1');
+	await exchange('r2');
+	t.is(counts().connections, 2);
+});
+
+test('an idle connection is used again only well within the time that the backend server states', async t => {
+	const {exchange, counts} = await openRawBackend(t, (socket, number) => {
+		socket.write(answerTo(`r${number}`).replace('\r\n\r\n', '\r\nkeep-alive: timeout=0\r\n\r\n'));
+	});
+	await exchange('r1');
+	await sleep(1);
+	await exchange('r2');
+	t.is(counts().connections, 2);
+});
+
+test('a backend server that can not be reached did not run the request', async t => {
+	const {exchange} = await openRawBackend(t, socket => {
+		socket.destroy();
+	});
+	t.like(await t.throwsAsync(exchange('r1')), {kind: 'backend-failed'});
+});
--- /dev/null
+++ b/src/services/exchange/test/raw-backend.ts
@@ -0,0 +1,75 @@
+import {once} from 'node:events';
+import {createServer, type AddressInfo, type Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {Kernel} from '../../../runtime/kernel/kernel.js';
+import {HeaderNames} from '../../../runtime/http/header-names.js';
+import {MetricsService} from '../../../runtime/metrics/metrics-service.js';
+import {StatsdMetricsService} from '../../../runtime/metrics/statsd-metrics-service.js';
+import {testSettings} from '../../../runtime/peer/test/peer-fixture.js';
+import {FixedSettingsService} from '../../../runtime/settings/fixed-settings-service.js';
+import {RelaySettingsService} from '../../../runtime/settings/relay-settings-service.js';
+import {SettingsService} from '../../../runtime/settings/settings-service.js';
+import {ExchangeService} from '../exchange-service.js';
+import {PooledExchangeService} from '../pooled-exchange-service.js';
+
+type Teardown = {
+	teardown(release: () => void): void;
+};
+
+/** What the backend server does with each request of its connections, in turn. */
+export type RawReply = (socket: Socket, requestNumber: number) => void | Promise<void>;
+
+export const testHeaderNames: HeaderNames = {
+	requestId: 'id', deadlineMs: 'deadline', signature: 'signature', expectedInstance: 'instance', notRun: 'not-run', caller: 'caller',
+};
+
+/** A signed answer to a request id with a body. */
+export function answerTo(id: string, body = 'whole', status = '200 OK'): string {
+	return `HTTP/1.1 ${status}\r\nid: ${id}\r\nsignature: s\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
+}
+
+/** Starts a backend server that writes raw bytes, and an exchange service in front of it. */
+export async function openRawBackend(t: Teardown, reply: RawReply) {
+	let connections = 0;
+	let requests = 0;
+	const sockets = new Set<Socket>();
+	const server = createServer(socket => {
+		connections++;
+		sockets.add(socket);
+		socket.on('error', () => undefined);
+		socket.on('data', bytes => {
+			if (/^[A-Z]+ /v.test(bytes.toString())) {
+				requests++;
+				void reply(socket, requests);
+			}
+		});
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const {port} = server.address() as AddressInfo;
+	const kernel = new Kernel()
+		.registerInstance(SettingsService, new FixedSettingsService(testSettings('node')))
+		.registerInstance(RelaySettingsService, {relay: {backendHost: '127.0.0.1', backendPort: port}} as unknown as RelaySettingsService)
+		.registerInstance(HeaderNames, testHeaderNames)
+		.register(MetricsService, StatsdMetricsService)
+		.register(ExchangeService, PooledExchangeService);
+	t.teardown(() => {
+		kernel.dispose();
+		server.close();
+		for (const socket of sockets) {
+			socket.destroy();
+		}
+	});
+	const exchanges = kernel.get(ExchangeService);
+	return {
+		async exchange(requestId: string, signal = new AbortController().signal, body = '') {
+			const answer = await exchanges.exchange({
+				requestId, method: body === '' ? 'GET' : 'POST', target: '/', headers: ['host', 'h', 'id', requestId], body: new TextEncoder().encode(body),
+			}, signal);
+			return {...answer, body: new TextDecoder().decode(answer.body)};
+		},
+		counts: () => ({connections, requests}),
+		/** Lets bytes that are on their way arrive. */
+		settle: async () => sleep(20),
+	};
+}
--- a/src/services/relay/mesh-relay-service.ts
+++ b/src/services/relay/mesh-relay-service.ts
@@ -1,6 +1,7 @@
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {createRandom} from '../../base/create-random.js';
 import {createUuid} from '../../base/create-uuid.js';
+import {type Disposable} from '../../base/disposable.js';
 import {ErrorKind} from '../../base/error-kind.js';
 import {fromWireError} from '../../base/from-wire-error.js';
 import {KumquatlineError} from '../../base/kumquatline-error.js';
@@ -12,7 +13,6 @@
 import {type Member} from '../membership/member.js';
 import {MemberState} from '../membership/member-state.js';
 import {MembershipService} from '../membership/membership-service.js';
-import {RoutingService} from '../routing/routing-service.js';
 import {type Route} from '../routes/route.js';
 import {type RelayAnswer} from './relay-answer.js';
 import {relayMethod} from './relay-method.js';
@@ -20,6 +20,7 @@
 import {type RelayRequest} from './relay-request.js';
 import {type EnteredRequest, type RelayService} from './relay-service.js';
 import {RetryBudget} from './retry-budget.js';
+import {UpstreamChooser} from './upstream-chooser.js';
 
 /** Upstreams that are passed over for one request because they certainly did not begin it. */
 const maxDetours = 6;
@@ -32,6 +33,7 @@
 /** Failures after which an idempotent request may be sent again. */
 const repeatedKinds: ReadonlySet<ErrorKind> = new Set([ErrorKind.PeerLost, ErrorKind.BackendFailed]);
 const firstFailureStatus = 500;
+const goneStates: ReadonlySet<MemberState> = new Set([MemberState.Dead, MemberState.Left]);
 
 /** How one upstream fared with a request. */
 type Attempt = {
@@ -42,12 +44,13 @@
 };
 
 /** Sends each request to an upstream of its route; another one only while that is allowed and safe. */
-export class MeshRelayService implements RelayService {
+export class MeshRelayService implements RelayService, Disposable {
 	private readonly budgets = new Map<string, RetryBudget>();
 	private readonly random;
+	private readonly chooser: UpstreamChooser;
+	private readonly subscription: Disposable;
 
 	constructor(
-		@RoutingService private readonly routing: RoutingService,
 		@PeerService private readonly peers: PeerService,
 		@MembershipService private readonly membership: MembershipService,
 		@RelaySettingsService private readonly relaySettings: RelaySettingsService,
@@ -56,6 +59,16 @@
 		@LogService private readonly log: LogService,
 	) {
 		this.random = createRandom(settings.seed, `${settings.nodeId}/relay`);
+		this.chooser = new UpstreamChooser(membership, settings.availabilityZone, this.random);
+		this.subscription = membership.onDidChange(({nodeId, state}) => {
+			if (goneStates.has(state)) {
+				this.chooser.forget(nodeId);
+			}
+		});
+	}
+
+	dispose(): void {
+		this.subscription.dispose();
 	}
 
 	async relay(entered: EnteredRequest, signal: AbortSignal): Promise<RelayAnswer> {
@@ -77,7 +90,7 @@
 	private async tryUpstreams(request: RelayRequest, matched: Route, endsAtMs: number, budget: RetryBudget, attempts: Attempt[], signal: AbortSignal): Promise<RelayAnswer> {
 		const tried = new Set<string>();
 		for (;;) {
-			const member = this.routing.choose(request.service, tried);
+			const member = this.chooser.choose(request.service, tried);
 			if (!member) {
 				return settle(attempts, request.service);
 			}
@@ -110,6 +123,7 @@
 
 	private async attempt(member: Member, request: RelayRequest, endsAtMs: number, signal: AbortSignal): Promise<Attempt> {
 		const {nodeId} = member;
+		const beganAtMs = performance.now();
 		let reply: RelayReply | undefined;
 		try {
 			const timeoutMs = endsAtMs - performance.now();
@@ -123,7 +137,7 @@
 			const failure = error instanceof KumquatlineError ? error : new KumquatlineError(ErrorKind.Internal, 'unforeseen failure', {cause: error});
 			return {nodeId, failure, offered: failure.started !== false};
 		} finally {
-			this.routing.noteReply(member, reply?.load);
+			this.chooser.noteEnd(member, {load: reply?.load, elapsedMs: performance.now() - beganAtMs, succeeded: isSuccess(reply)});
 		}
 	}
 
@@ -154,7 +168,7 @@
 		const budget = new RetryBudget(() => {
 			const {retryRatio, retryWindowMs, retrySlack} = this.relaySettings.relay;
 			return {ratio: retryRatio, windowMs: retryWindowMs, slack: retrySlack};
-		}, () => this.membership.members.filter(({state}) => state !== MemberState.Dead && state !== MemberState.Left).length);
+		}, () => this.membership.members.filter(({state}) => !goneStates.has(state)).length);
 		this.budgets.set(service, budget);
 		return budget;
 	}
@@ -173,6 +187,11 @@
 	}
 }
 
+/** Whether an upstream has served well; a queue that was too long says nothing of its health. */
+function isSuccess(reply: RelayReply | undefined): boolean {
+	return reply?.failure ? reply.failure.kind === ErrorKind.Overloaded : (reply?.status ?? firstFailureStatus) < firstFailureStatus;
+}
+
 function toAttempt(nodeId: string, {status, headers, attachment, failure, offered}: RelayReply): Attempt {
 	if (status === undefined || !headers) {
 		return {nodeId, failure: fromWireError(failure ?? {kind: ErrorKind.PeerProtocol, message: 'a reply without answer or failure'}), offered};
--- a/src/services/relay/relay-executor.ts
+++ b/src/services/relay/relay-executor.ts
@@ -16,12 +16,16 @@
 import {ExchangeService} from '../exchange/exchange-service.js';
 import {MemberState} from '../membership/member-state.js';
 import {MembershipService} from '../membership/membership-service.js';
+import {BackendBreaker} from './backend-breaker.js';
 import {relayMethod} from './relay-method.js';
 import {type RelayReply} from './relay-reply.js';
 import {type RelayRequest} from './relay-request.js';
 import {RunningRequests} from './running-requests.js';
 import {SlotQueue} from './slot-queue.js';
 
+/** Share of the limit from which on a refusal counts as a sign of overload. */
+const fullShare = 0.6;
+
 type Offer = {
 	/** Whether the backend server was sent the request. */
 	offered: boolean;
@@ -31,6 +35,8 @@
 export class RelayExecutor implements Disposable {
 	private readonly handlers = new DisposableStore();
 	private readonly queue: SlotQueue;
+	private knownBootMs = 0;
+	private readonly breaker = new BackendBreaker();
 	private readonly idleWaiters: Array<Deferred<void>> = [];
 
 	constructor(
@@ -51,6 +57,11 @@
 	/** Takes over how much the backend server says that it runs at once. */
 	noteInstance(instance: InstanceReport | undefined): void {
 		if (instance) {
+			if (instance.bornAtMs !== this.knownBootMs) {
+				this.knownBootMs = instance.bornAtMs;
+				this.breaker.reset();
+			}
+
 			this.limit.setAnnounced(instance.slots, instance.slots, instance.bornAtMs);
 			this.queue.admitWaiting();
 		}
@@ -79,7 +90,8 @@
 			};
 		} catch (error) {
 			const failure = toWireError(error);
-			if (failure.kind === ErrorKind.BackendShed) {
+			// With few requests at work a refusal says nothing of how much the backend server can run.
+			if (failure.kind === ErrorKind.BackendShed && this.queue.running > this.limit.limit * fullShare) {
 				this.limit.noteShed(this.queue.running);
 			}
 
@@ -104,24 +116,44 @@
 	private async execute(request: RelayRequest, call: PeerCall, offer: Offer): Promise<ExchangeAnswer> {
 		const endsAtMs = performance.now() + call.timeoutMs;
 		this.checkInstance(request.service);
+		if (!this.breaker.mayBegin(this.queue.meanMs)) {
+			throw new KumquatlineError(ErrorKind.BackendUnreachable, 'the backend server does not answer at present', {started: false});
+		}
+
 		await this.queue.enter({isInner: request.isInner, priority: request.priority, endsAtMs}, call.signal);
+		try {
+			return await this.send(request, endsAtMs, call.signal, offer);
+		} finally {
+			this.settleIdle();
+		}
+	}
+
+	/** Sends a request that has a slot. */
+	private async send(request: RelayRequest, endsAtMs: number, signal: AbortSignal, offer: Offer): Promise<ExchangeAnswer> {
 		const beganAtMs = performance.now();
+		const end = this.breaker.begin();
 		this.runningRequests.add(request.requestId);
+		let isAnswered = false;
 		try {
 			// Whoever was let in from the queue may find another backend server than the one it waited for.
 			const instance = this.checkInstance(request.service);
 			offer.offered = true;
-			return await this.exchanges.exchange(this.prepare(request, instance, endsAtMs), call.signal);
+			const answer = await this.exchanges.exchange(this.prepare(request, instance, endsAtMs), signal);
+			isAnswered = true;
+			return answer;
 		} catch (error) {
-			if (error instanceof KumquatlineError && error.kind === ErrorKind.BackendUnreachable) {
+			const kind = error instanceof KumquatlineError ? error.kind : ErrorKind.Internal;
+			isAnswered = kind === ErrorKind.BackendShed;
+			if (kind === ErrorKind.BackendUnreachable) {
 				offer.offered = false;
+				this.breaker.noteConnectFailure();
 			}
 
 			throw error;
 		} finally {
+			end(isAnswered);
 			this.runningRequests.delete(request.requestId);
-			this.queue.leave(performance.now() - beganAtMs);
-			this.settleIdle();
+			this.queue.leave(isAnswered ? performance.now() - beganAtMs : undefined);
 		}
 	}
 
--- a/src/services/relay/slot-queue.ts
+++ b/src/services/relay/slot-queue.ts
@@ -60,10 +60,18 @@
 		await this.wait({...work, admitted: new Deferred<void>()}, signal);
 	}
 
-	/** Ends work that had entered, after a run of so long. */
-	leave(runMs: number): void {
+	/** Mean time of a run; 0 before the first. */
+	get meanMs(): number {
+		return this.meanRunMs;
+	}
+
+	/** Ends work that had entered, after a run of so long; undefined when the run says nothing of others. */
+	leave(runMs: number | undefined): void {
 		this.runningCount--;
-		this.meanRunMs = this.meanRunMs === 0 ? runMs : this.meanRunMs + ((runMs - this.meanRunMs) * latestWeight);
+		if (runMs !== undefined) {
+			this.meanRunMs = this.meanRunMs === 0 ? runMs : this.meanRunMs + ((runMs - this.meanRunMs) * latestWeight);
+		}
+
 		this.admitWaiting();
 	}
 
--- /dev/null
+++ b/src/services/relay/test/backend-breaker.test.ts
@@ -0,0 +1,47 @@
+import {install} from '@sinonjs/fake-timers';
+import test from 'ava';
+import {BackendBreaker} from '../backend-breaker.js';
+
+const meanRunMs = 50;
+
+test.serial('a backend server that answers nothing gets one request from time to time, until it answers', t => {
+	const clock = install();
+	t.teardown(() => {
+		clock.uninstall();
+	});
+	const breaker = new BackendBreaker();
+	const ends = [breaker.begin(), breaker.begin(), breaker.begin()];
+	clock.tick(200);
+	t.true(breaker.mayBegin(meanRunMs));
+	clock.tick(101);
+	t.deepEqual([breaker.mayBegin(meanRunMs), breaker.mayBegin(meanRunMs)], [true, false]);
+	clock.tick(250);
+	t.true(breaker.mayBegin(meanRunMs));
+	ends[0](true);
+	t.deepEqual([breaker.mayBegin(meanRunMs), breaker.mayBegin(meanRunMs)], [true, true]);
+});
+
+test.serial('one long run alone is no sign of darkness', t => {
+	const clock = install();
+	t.teardown(() => {
+		clock.uninstall();
+	});
+	const breaker = new BackendBreaker();
+	breaker.begin();
+	clock.tick(5000);
+	t.deepEqual([breaker.mayBegin(meanRunMs), breaker.mayBegin(meanRunMs)], [true, true]);
+});
+
+test.serial('connections that fail in a row make it unreachable until an answer or another boot', t => {
+	const clock = install({now: 10_000});
+	t.teardown(() => {
+		clock.uninstall();
+	});
+	const breaker = new BackendBreaker();
+	breaker.noteConnectFailure();
+	t.deepEqual([breaker.mayBegin(meanRunMs), breaker.mayBegin(meanRunMs)], [true, true]);
+	breaker.noteConnectFailure();
+	t.deepEqual([breaker.mayBegin(meanRunMs), breaker.mayBegin(meanRunMs)], [true, false]);
+	breaker.reset();
+	t.deepEqual([breaker.mayBegin(meanRunMs), breaker.mayBegin(meanRunMs)], [true, true]);
+});
--- /dev/null
+++ b/src/services/relay/test/retry-budget.test.ts
@@ -0,0 +1,34 @@
+import {install} from '@sinonjs/fake-timers';
+import test from 'ava';
+import {RetryBudget} from '../retry-budget.js';
+
+const settings = {ratio: 0.2, windowMs: 10_000, slack: 48};
+
+test.serial('repetitions in any window stay within the share of the requests and the node\'s part of the slack', t => {
+	const clock = install();
+	t.teardown(() => {
+		clock.uninstall();
+	});
+	const nodes = 4;
+	const budget = new RetryBudget(() => settings, () => nodes);
+	const taken: number[] = [];
+	const requests: number[] = [];
+	for (let elapsedMs = 0; elapsedMs < 60_000; elapsedMs += 10) {
+		clock.tick(10);
+		if (elapsedMs % 100 === 0) {
+			budget.noteRequest();
+			requests.push(performance.now());
+		}
+
+		if (budget.take()) {
+			taken.push(performance.now());
+		}
+	}
+
+	for (const endMs of taken) {
+		const inWindow = (times: readonly number[]) => times.filter(time => time <= endMs && time > endMs - settings.windowMs).length;
+		t.true(inWindow(taken) <= (settings.ratio * inWindow(requests)) + (settings.slack / nodes) + 1);
+	}
+
+	t.true(taken.length > 0);
+});
--- /dev/null
+++ b/src/services/relay/test/slot-queue.test.ts
@@ -0,0 +1,71 @@
+import {install} from '@sinonjs/fake-timers';
+import test from 'ava';
+import {SlotQueue, type QueuedWork} from '../slot-queue.js';
+
+const never = new AbortController().signal;
+
+function work(priority: number, leftMs = 1000, isInner = false): QueuedWork {
+	return {isInner, priority, endsAtMs: performance.now() + leftMs};
+}
+
+/** Enters work and tells its name when it may begin. */
+async function enter(queue: SlotQueue, begun: string[], name: string, item: QueuedWork): Promise<void> {
+	try {
+		await queue.enter(item, never);
+		begun.push(name);
+	} catch (error) {
+		begun.push(`${name} refused: ${(error as {kind: string}).kind}`);
+	}
+}
+
+test.serial('calls of running requests go first, then by priority, then by deadline', async t => {
+	const clock = install();
+	t.teardown(() => {
+		clock.uninstall();
+	});
+	const queue = new SlotQueue(() => 1);
+	const begun: string[] = [];
+	await enter(queue, begun, 'running', work(2));
+	const entering = [
+		enter(queue, begun, 'low', work(2)),
+		enter(queue, begun, 'high later', work(0, 900)),
+		enter(queue, begun, 'high sooner', work(0, 800)),
+		enter(queue, begun, 'inner', work(2, 1000, true)),
+	];
+	for (let index = 0; index < 5; index++) {
+		queue.leave(10);
+		await clock.tickAsync(1);
+	}
+
+	await Promise.all(entering);
+	t.deepEqual(begun, ['running', 'inner', 'high sooner', 'high later', 'low']);
+});
+
+test.serial('work that can not end in time is refused at once, or when its turn comes', async t => {
+	const clock = install();
+	t.teardown(() => {
+		clock.uninstall();
+	});
+	const queue = new SlotQueue(() => 1);
+	const begun: string[] = [];
+	await enter(queue, begun, 'first', work(0));
+	queue.leave(100);
+	await enter(queue, begun, 'second', work(0));
+	await enter(queue, begun, 'hopeless', work(0, 120));
+	const waiting = enter(queue, begun, 'overtaken', work(0, 200));
+	clock.tick(180);
+	queue.leave(100);
+	await waiting;
+	t.deepEqual(begun, ['first', 'second', 'hopeless refused: overloaded', 'overtaken refused: deadline-exceeded']);
+	t.is(queue.running, 0);
+});
+
+test.serial('work that is given up leaves the queue', async t => {
+	const queue = new SlotQueue(() => 1);
+	await queue.enter(work(0), never);
+	const controller = new AbortController();
+	const waiting = t.throwsAsync(queue.enter(work(0), controller.signal));
+	controller.abort();
+	t.like(await waiting, {kind: 'caller-gone', started: false});
+	t.is(queue.length, 0);
+});
--- /dev/null
+++ b/src/services/relay/upstream-chooser.ts
@@ -0,0 +1,139 @@
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {type RandomGenerator} from 'pure-rand/types/RandomGenerator';
+import {type UpstreamLoad} from '../admission/upstream-load.js';
+import {type Member} from '../membership/member.js';
+import {type MembershipService} from '../membership/membership-service.js';
+import {UpstreamHealth} from './upstream-health.js';
+
+/** Time after which a reported load counts no longer. */
+const loadLifetimeMs = 2000;
+/** Share of its limit above which an upstream's work begins to wait, and other zones are worth their way. */
+const fullShare = 0.85;
+/** Share of failures above which an upstream of another zone is worth the way. */
+const failingShare = 0.3;
+/** How strongly work beyond the limit counts: it waits for a whole run or more. */
+const overfullFactor = 4;
+
+type UpstreamRecord = {
+	/** Requests of this node that have not ended. */
+	inFlight: number;
+	/** Requests that this node began since the load was heard. */
+	begunSinceHeard: number;
+	load?: UpstreamLoad;
+	heardAtMs: number;
+	readonly health: UpstreamHealth;
+};
+
+/** How a request ended at an upstream. */
+export type UpstreamOutcome = {
+	readonly load?: UpstreamLoad;
+	readonly elapsedMs: number;
+	readonly succeeded: boolean;
+};
+
+/** Chooses the upstream of a service with the least expected time, in the own availability zone while that has room. */
+export class UpstreamChooser {
+	private readonly records = new Map<string, UpstreamRecord>();
+
+	constructor(
+		private readonly membership: MembershipService,
+		private readonly availabilityZone: string,
+		private readonly random: RandomGenerator,
+	) {}
+
+	/** Chooses an upstream and counts a request in flight to it until `noteEnd`; undefined when there is none. */
+	choose(service: string, exclude: ReadonlySet<string>): Member | undefined {
+		const candidates = this.membership.upstreams(service).filter(member => !exclude.has(member.nodeId));
+		const near = candidates.filter(member => member.availabilityZone === this.availabilityZone);
+		const member = this.pick(near.some(candidate => this.hasRoom(candidate)) ? near : candidates);
+		if (member) {
+			const record = this.recordOf(member);
+			record.inFlight++;
+			record.begunSinceHeard++;
+		}
+
+		return member;
+	}
+
+	/** Ends a request in flight. */
+	noteEnd(member: Member, {load, elapsedMs, succeeded}: UpstreamOutcome): void {
+		const record = this.recordOf(member);
+		record.inFlight--;
+		record.health.note(succeeded, elapsedMs);
+		if (load) {
+			record.load = load;
+			record.begunSinceHeard = 0;
+			record.heardAtMs = performance.now();
+		}
+	}
+
+	/** Drops what is known of members that are gone. */
+	forget(nodeId: string): void {
+		if (this.records.get(nodeId)?.inFlight === 0) {
+			this.records.delete(nodeId);
+		}
+	}
+
+	/** The better of two different candidates drawn by limit (the power of two choices). */
+	private pick(candidates: readonly Member[]): Member | undefined {
+		const first = this.drawByLimit(candidates);
+		const second = this.drawByLimit(candidates.filter(member => member !== first));
+		if (!first || !second) {
+			return first;
+		}
+
+		return this.expectedMs(second) < this.expectedMs(first) ? second : first;
+	}
+
+	private drawByLimit(candidates: readonly Member[]): Member | undefined {
+		let total = 0;
+		for (const member of candidates) {
+			total += this.limitOf(member);
+		}
+
+		let rest = uniformFloat64(this.random) * total;
+		for (const member of candidates) {
+			rest -= this.limitOf(member);
+			if (rest < 0) {
+				return member;
+			}
+		}
+
+		return candidates.at(-1);
+	}
+
+	private hasRoom(member: Member): boolean {
+		return this.utilisation(member) < fullShare && this.recordOf(member).health.failureShare < failingShare;
+	}
+
+	/** Time until an answer, with what failing costs. */
+	private expectedMs(member: Member): number {
+		const {health} = this.recordOf(member);
+		const surplus = Math.max(0, this.utilisation(member) - fullShare);
+		const successShare = 1 - health.failureShare;
+		return health.meanMs * (1 + this.utilisation(member) + (overfullFactor * surplus)) / (successShare * successShare);
+	}
+
+	private utilisation(member: Member): number {
+		const {load, inFlight, begunSinceHeard, heardAtMs} = this.recordOf(member);
+		const isFresh = performance.now() - heardAtMs < loadLifetimeMs;
+		const work = load && isFresh ? Math.max(inFlight, load.inFlight + load.queued + begunSinceHeard) : inFlight;
+		return work / this.limitOf(member);
+	}
+
+	private limitOf(member: Member): number {
+		return Math.max(1, this.recordOf(member).load?.limit ?? member.slots);
+	}
+
+	private recordOf({nodeId}: Member): UpstreamRecord {
+		let record = this.records.get(nodeId);
+		if (!record) {
+			record = {
+				inFlight: 0, begunSinceHeard: 0, heardAtMs: 0, health: new UpstreamHealth(),
+			};
+			this.records.set(nodeId, record);
+		}
+
+		return record;
+	}
+}
