Learn the call graph from replies; refuse roots early by the thresholds of what they call

Cause: a root that is let in and fails deeper down costs its work; only the entry can refuse it whole. Replies carry how often an execution called each service, its refusal threshold and those it had heard of. Calls of running requests are never refused early. A repetition is charged to the services that it calls again.

--- a/src/programs/node/create-relay-kernel.ts
+++ b/src/programs/node/create-relay-kernel.ts
@@ -12,6 +12,8 @@
 import {HttpOutboundService} from '../../services/outbound/http-outbound-service.js';
 import {OutboundService} from '../../services/outbound/outbound-service.js';
 import {PolicyService} from '../../services/policy/policy-service.js';
+import {CallGraphService} from '../../services/relay/call-graph-service.js';
+import {LearnedCallGraphService} from '../../services/relay/learned-call-graph-service.js';
 import {MeshRelayService} from '../../services/relay/mesh-relay-service.js';
 import {RelayService} from '../../services/relay/relay-service.js';
 import {RunningRequestSet} from '../../services/relay/running-request-set.js';
@@ -27,6 +29,7 @@
 		.register(InstanceSource, InstanceBoard)
 		.register(ExchangeService, PooledExchangeService)
 		.register(RunningRequests, RunningRequestSet)
+		.register(CallGraphService, LearnedCallGraphService)
 		.register(RelayService, MeshRelayService)
 		.register(OutboundService, HttpOutboundService);
 }
--- /dev/null
+++ b/src/services/relay/learned-call-graph-service.ts
@@ -0,0 +1,52 @@
+import {type HeardThreshold} from '../admission/heard-threshold.js';
+import {ThresholdMemory} from '../routing/threshold-memory.js';
+import {type CallCounts, type CallGraphService} from './call-graph-service.js';
+
+/** Weight of the latest execution in a mean. */
+const latestWeight = 0.1;
+/** Means below are forgotten: the route has ceased to make such calls. */
+const negligibleMean = 0.02;
+
+/** Learns the call graph from the counts that replies carry. */
+export class LearnedCallGraphService implements CallGraphService {
+	private readonly meansByRoute = new Map<string, Map<string, number>>();
+	private readonly thresholds = new ThresholdMemory();
+
+	get heard(): readonly HeardThreshold[] {
+		return this.thresholds.heard;
+	}
+
+	noteCalls(route: string, calls: CallCounts): void {
+		const means = this.meansByRoute.get(route);
+		if (!means) {
+			this.meansByRoute.set(route, new Map(Object.entries(calls)));
+			return;
+		}
+
+		for (const service of new Set([...means.keys(), ...Object.keys(calls)])) {
+			const mean = means.get(service) ?? 0;
+			const next = mean + (((calls[service] ?? 0) - mean) * latestWeight);
+			if (next < negligibleMean) {
+				means.delete(service);
+			} else {
+				means.set(service, next);
+			}
+		}
+	}
+
+	callsOf(route: string): ReadonlyMap<string, number> {
+		return this.meansByRoute.get(route) ?? new Map();
+	}
+
+	noteThreshold(service: string, threshold: number, heard: readonly HeardThreshold[] = []): void {
+		for (const other of heard) {
+			this.thresholds.hear(other);
+		}
+
+		this.thresholds.hear({service, threshold, ageMs: 0});
+	}
+
+	thresholdOf(service: string): number {
+		return this.thresholds.thresholdOf(service);
+	}
+}
--- a/src/services/relay/mesh-relay-service.ts
+++ b/src/services/relay/mesh-relay-service.ts
@@ -14,12 +14,15 @@
 import {MemberState} from '../membership/member-state.js';
 import {MembershipService} from '../membership/membership-service.js';
 import {type Route} from '../routes/route.js';
+import {rootShare} from '../admission/root-share.js';
+import {CallGraphService} from './call-graph-service.js';
 import {type RelayAnswer} from './relay-answer.js';
 import {relayMethod} from './relay-method.js';
 import {type RelayReply} from './relay-reply.js';
 import {type RelayRequest} from './relay-request.js';
 import {type EnteredRequest, type RelayService} from './relay-service.js';
 import {RetryBudget} from './retry-budget.js';
+import {RunningRequests} from './running-requests.js';
 import {UpstreamChooser} from './upstream-chooser.js';
 
 /** Upstreams that are passed over for one request because they certainly did not begin it. */
@@ -32,6 +35,14 @@
 ]);
 /** Failures after which an idempotent request may be sent again. */
 const repeatedKinds: ReadonlySet<ErrorKind> = new Set([ErrorKind.PeerLost, ErrorKind.BackendFailed]);
+/** Rank of requests with priority 0; each step down is one less. */
+const highestRank = 3;
+/** Time after which a refused caller finds room, spread so that not all come back at once. */
+const leastRetryMs = 500;
+const retrySpreadMs = 1000;
+/** Parts of what a service may get again: sent to it directly, and called deeper down by repeated requests, which up to three nodes of a chain count. */
+const directShare = 0.45;
+const deeperShare = 0.15;
 const firstFailureStatus = 500;
 const goneStates: ReadonlySet<MemberState> = new Set([MemberState.Dead, MemberState.Left]);
 
@@ -55,6 +66,8 @@
 		@MembershipService private readonly membership: MembershipService,
 		@RelaySettingsService private readonly relaySettings: RelaySettingsService,
 		@SettingsService {settings}: SettingsService,
+		@CallGraphService private readonly callGraph: CallGraphService,
+		@RunningRequests private readonly runningRequests: RunningRequests,
 		@MetricsService private readonly metrics: MetricsService,
 		@LogService private readonly log: LogService,
 	) {
@@ -77,17 +90,17 @@
 		const request: RelayRequest = {
 			...rest, service, route: matched.name, idempotent: matched.idempotent, priority: matched.priority,
 		};
-		const budget = this.budgetOf(service);
-		budget.noteRequest();
+		this.noteRequest(request);
 		const attempts: Attempt[] = [];
 		try {
-			return await this.tryUpstreams(request, matched, endsAtMs, budget, attempts, signal);
+			this.refuseEarly(request);
+			return await this.tryUpstreams(request, matched, endsAtMs, attempts, signal);
 		} finally {
 			this.logEnd(request, attempts);
 		}
 	}
 
-	private async tryUpstreams(request: RelayRequest, matched: Route, endsAtMs: number, budget: RetryBudget, attempts: Attempt[], signal: AbortSignal): Promise<RelayAnswer> {
+	private async tryUpstreams(request: RelayRequest, matched: Route, endsAtMs: number, attempts: Attempt[], signal: AbortSignal): Promise<RelayAnswer> {
 		const tried = new Set<string>();
 		for (;;) {
 			const member = this.chooser.choose(request.service, tried);
@@ -98,14 +111,14 @@
 			tried.add(member.nodeId);
 			const attempt = await this.attempt(member, request, endsAtMs, signal);
 			attempts.push(attempt);
-			if (!this.mayGoOn(attempt, attempts, request, matched, budget)) {
+			if (!this.mayGoOn(attempt, attempts, request, matched)) {
 				return settle(attempts, request.service);
 			}
 		}
 	}
 
 	/** Whether the request may be sent to one more upstream. */
-	private mayGoOn({failure, answer, offered}: Attempt, attempts: readonly Attempt[], request: RelayRequest, matched: Route, budget: RetryBudget): boolean {
+	private mayGoOn({failure, answer, offered}: Attempt, attempts: readonly Attempt[], request: RelayRequest, matched: Route): boolean {
 		if (attempts.length > maxDetours) {
 			return false;
 		}
@@ -118,7 +131,44 @@
 		}
 
 		const offers = attempts.filter(attempt => attempt.offered).length;
-		return !offered || (offers < matched.maxUpstreams && budget.take());
+		return !offered || (offers < matched.maxUpstreams && this.takeRepetition(request));
+	}
+
+	/** Takes one repetition of a request, with all the calls that it repeats deeper down, from the budgets of the services; false when one has too little left. */
+	private takeRepetition({route, service}: RelayRequest): boolean {
+		const direct = this.budgetOf(service, true);
+		const calls = [...this.callGraph.callsOf(route)];
+		if (!direct.has(1) || !calls.every(([name, count]) => this.budgetOf(name, false).has(count))) {
+			this.metrics.count('retries', {route, outcome: 'denied'});
+			return false;
+		}
+
+		direct.take(1);
+		for (const [name, count] of calls) {
+			this.budgetOf(name, false).take(count);
+		}
+
+		this.metrics.count('retries', {route, outcome: 'granted'});
+		return true;
+	}
+
+	/** Refuses a request that a service on its way would refuse now; calls of running requests always go on. */
+	private refuseEarly({requestId, route, service, priority, isInner}: RelayRequest): void {
+		if (isInner) {
+			return;
+		}
+
+		const rank = Math.max(0, highestRank - priority) + rootShare(requestId);
+		for (const name of [service, ...this.callGraph.callsOf(route).keys()]) {
+			const threshold = this.callGraph.thresholdOf(name);
+			if (rank < threshold) {
+				const retryAfterMs = leastRetryMs + (retrySpreadMs * uniformFloat64(this.random));
+				this.log.info('refused early', {
+					id: requestId, route, service: name, threshold, rank,
+				});
+				throw new KumquatlineError(ErrorKind.Overloaded, `service ${name} refuses work of this rank at present`, {started: false, retryAfterMs});
+			}
+		}
 	}
 
 	private async attempt(member: Member, request: RelayRequest, endsAtMs: number, signal: AbortSignal): Promise<Attempt> {
@@ -132,6 +182,7 @@
 			}
 
 			reply = await this.peers.call(member, relayMethod, request, {callId: createUuid(), timeoutMs, signal});
+			this.noteReply(request, reply);
 			return toAttempt(nodeId, reply);
 		} catch (error) {
 			const failure = error instanceof KumquatlineError ? error : new KumquatlineError(ErrorKind.Internal, 'unforeseen failure', {cause: error});
@@ -141,6 +192,19 @@
 		}
 	}
 
+	/** Learns from a reply what the request called and what services refuse. */
+	private noteReply({requestId, route, service, isInner}: RelayRequest, {status, calls = {}, load}: RelayReply): void {
+		if (status !== undefined && status < firstFailureStatus) {
+			this.callGraph.noteCalls(route, calls);
+		}
+
+		if (isInner) {
+			this.runningRequests.noteCall(requestId, {...calls, [service]: (calls[service] ?? 0) + 1});
+		}
+
+		this.callGraph.noteThreshold(service, this.chooser.thresholdOf(service), load.heard);
+	}
+
 	/** Draws one of a route's services in proportion to their weights. */
 	private drawService({targets}: Route): string {
 		let total = 0;
@@ -159,17 +223,29 @@
 		return targets[0].service;
 	}
 
-	private budgetOf(service: string): RetryBudget {
-		const known = this.budgets.get(service);
+	/** Counts a request for its service, and the calls that it will make deeper down. */
+	private noteRequest({route, service}: RelayRequest): void {
+		this.budgetOf(service, true).noteRequests(1);
+		for (const [name, count] of this.callGraph.callsOf(route)) {
+			this.budgetOf(name, false).noteRequests(count);
+		}
+	}
+
+	/** The budget of a service for requests that go to it from here, or for those that are called deeper down. */
+	private budgetOf(service: string, isDirect: boolean): RetryBudget {
+		const key = isDirect ? service : `calls of ${service}`;
+		const known = this.budgets.get(key);
 		if (known) {
 			return known;
 		}
 
 		const budget = new RetryBudget(() => {
 			const {retryRatio, retryWindowMs, retrySlack} = this.relaySettings.relay;
-			return {ratio: retryRatio, windowMs: retryWindowMs, slack: retrySlack};
+			return {
+				ratio: retryRatio, windowMs: retryWindowMs, slack: retrySlack, share: isDirect ? directShare : deeperShare,
+			};
 		}, () => this.membership.members.filter(({state}) => !goneStates.has(state)).length);
-		this.budgets.set(service, budget);
+		this.budgets.set(key, budget);
 		return budget;
 	}
 
--- a/src/services/relay/relay-executor.ts
+++ b/src/services/relay/relay-executor.ts
@@ -9,6 +9,7 @@
 import {MetricsService} from '../../runtime/metrics/metrics-service.js';
 import {type PeerCall, PeerService} from '../../runtime/peer/peer-service.js';
 import {LimitService} from '../admission/limit-service.js';
+import {ThresholdService} from '../admission/threshold-service.js';
 import {type UpstreamLoad} from '../admission/upstream-load.js';
 import {type InstanceReport} from '../backend/instance-report.js';
 import {InstanceSource} from '../backend/instance-source.js';
@@ -17,6 +18,7 @@
 import {MemberState} from '../membership/member-state.js';
 import {MembershipService} from '../membership/membership-service.js';
 import {BackendBreaker} from './backend-breaker.js';
+import {type CallCounts, CallGraphService} from './call-graph-service.js';
 import {relayMethod} from './relay-method.js';
 import {type RelayReply} from './relay-reply.js';
 import {type RelayRequest} from './relay-request.js';
@@ -29,6 +31,8 @@
 type Offer = {
 	/** Whether the backend server was sent the request. */
 	offered: boolean;
+	/** Calls that the execution has made. */
+	calls?: CallCounts;
 };
 
 /** Runs the requests that nodes send for the VM's own backend server; the only one that talks to it, and so the authority on it. */
@@ -43,6 +47,8 @@
 		@PeerService peers: PeerService,
 		@InstanceSource private readonly instances: InstanceSource,
 		@LimitService private readonly limit: LimitService,
+		@ThresholdService private readonly threshold: ThresholdService,
+		@CallGraphService private readonly callGraph: CallGraphService,
 		@ExchangeService private readonly exchanges: ExchangeService,
 		@MembershipService private readonly membership: MembershipService,
 		@HeaderNames private readonly names: HeaderNames,
@@ -108,11 +114,18 @@
 	}
 
 	private load(): UpstreamLoad {
+		this.observe();
 		return {
-			inFlight: this.queue.running, limit: this.limit.limit, queued: this.queue.length, queueWaitMs: 0, threshold: 0,
+			inFlight: this.queue.running, limit: this.limit.limit, queued: this.queue.length, queueWaitMs: 0,
+			threshold: this.threshold.threshold,
+			heard: this.callGraph.heard,
 		};
 	}
 
+	private observe(): void {
+		this.threshold.observe({oldestWaitMs: this.queue.oldestWaitMs, isFull: this.queue.running >= this.limit.limit, ownTimeMs: this.queue.meanMs});
+	}
+
 	private async execute(request: RelayRequest, call: PeerCall, offer: Offer): Promise<ExchangeAnswer> {
 		const endsAtMs = performance.now() + call.timeoutMs;
 		this.checkInstance(request.service);
@@ -120,6 +133,7 @@
 			throw new KumquatlineError(ErrorKind.BackendUnreachable, 'the backend server does not answer at present', {started: false});
 		}
 
+		this.observe();
 		await this.queue.enter({isInner: request.isInner, priority: request.priority, endsAtMs}, call.signal);
 		try {
 			return await this.send(request, endsAtMs, call.signal, offer);
@@ -132,7 +146,7 @@
 	private async send(request: RelayRequest, endsAtMs: number, signal: AbortSignal, offer: Offer): Promise<ExchangeAnswer> {
 		const beganAtMs = performance.now();
 		const end = this.breaker.begin();
-		this.runningRequests.add(request.requestId);
+		this.runningRequests.begin(request.requestId);
 		let isAnswered = false;
 		try {
 			// Whoever was let in from the queue may find another backend server than the one it waited for.
@@ -152,7 +166,7 @@
 			throw error;
 		} finally {
 			end(isAnswered);
-			this.runningRequests.delete(request.requestId);
+			offer.calls = this.runningRequests.end(request.requestId);
 			this.queue.leave(isAnswered ? performance.now() - beganAtMs : undefined);
 		}
 	}
--- a/src/services/relay/relay-reply.ts
+++ b/src/services/relay/relay-reply.ts
@@ -1,5 +1,6 @@
 import {type WireError} from '../../base/wire-error.js';
 import {type UpstreamLoad} from '../admission/upstream-load.js';
+import {type CallCounts} from './call-graph-service.js';
 
 /** Reply of the node beside an upstream: the whole answer or a failure, never both. */
 export type RelayReply = {
@@ -10,6 +11,8 @@
 	/** Whether the upstream was sent the request, even if it refused it. */
 	readonly offered: boolean;
 	readonly load: UpstreamLoad;
+	/** Calls that the execution has made. */
+	readonly calls?: CallCounts;
 	/** Body of the answer, carried as bytes. */
 	readonly attachment?: Uint8Array;
 };
--- a/src/services/relay/retry-budget.ts
+++ b/src/services/relay/retry-budget.ts
@@ -5,13 +5,13 @@
 
 /** Parts of a window; counts are forgotten part by part. */
 const slicesPerWindow = 10;
-/** Share of what the settings allow that is used: repetitions cause repeated calls deeper down, which no node counts. */
-const usedShare = 0.5;
 
 type BudgetSettings = {
 	readonly ratio: number;
 	readonly windowMs: number;
 	readonly slack: number;
+	/** Part of what the settings allow that this budget may use. */
+	readonly share: number;
 };
 
 /** What this node may send again to one service in a window: a share of its own requests for it, and its part of the slack that all nodes have together. */
@@ -20,21 +20,22 @@
 
 	constructor(private readonly settings: () => BudgetSettings, private readonly nodeCount: () => number) {}
 
-	noteRequest(): void {
-		this.current().requests++;
+	/** Counts requests, which may be an estimate. */
+	noteRequests(count: number): void {
+		this.current().requests += count;
 	}
 
-	/** Takes a repetition from the budget; false when nothing is left. */
-	take(): boolean {
-		const {ratio, slack} = this.settings();
+	/** Whether so many repetitions are left. */
+	has(count: number): boolean {
+		const {ratio, slack, share} = this.settings();
 		const {requests, repetitions} = this.sum();
-		const allowed = ((requests * ratio) + (slack / Math.max(1, this.nodeCount()))) * usedShare;
-		if (repetitions + 1 > allowed) {
-			return false;
-		}
+		const allowed = ((requests * ratio) + (slack / Math.max(1, this.nodeCount()))) * share;
+		return repetitions + count <= allowed;
+	}
 
-		this.current().repetitions++;
-		return true;
+	/** Counts repetitions, allowed or not. */
+	take(count: number): void {
+		this.current().repetitions += count;
 	}
 
 	private sum(): Counts {
--- a/src/services/relay/slot-queue.ts
+++ b/src/services/relay/slot-queue.ts
@@ -10,7 +10,10 @@
 	readonly endsAtMs: number;
 };
 
-type Waiting = QueuedWork & {readonly admitted: Deferred<void>};
+type Waiting = QueuedWork & {
+	readonly admitted: Deferred<void>;
+	readonly enqueuedAtMs: number;
+};
 
 /** Share of the usual run time that must be left for work to be begun at all. */
 const leastTimeShare = 0.5;
@@ -36,6 +39,17 @@
 		return this.waiting.length;
 	}
 
+	/** How long the work has waited that waits longest; 0 for an empty queue. */
+	get oldestWaitMs(): number {
+		let oldestAtMs = performance.now();
+		const nowMs = oldestAtMs;
+		for (const {enqueuedAtMs} of this.waiting) {
+			oldestAtMs = Math.min(oldestAtMs, enqueuedAtMs);
+		}
+
+		return nowMs - oldestAtMs;
+	}
+
 	/** Time that work of this rank would wait if it came now. */
 	expectedWaitMs(work: QueuedWork): number {
 		const limit = Math.max(1, this.limit());
@@ -57,7 +71,7 @@
 			throw new KumquatlineError(ErrorKind.Overloaded, 'the queue is too long for the time left', {started: false, retryAfterMs: waitMs});
 		}
 
-		await this.wait({...work, admitted: new Deferred<void>()}, signal);
+		await this.wait({...work, admitted: new Deferred<void>(), enqueuedAtMs: performance.now()}, signal);
 	}
 
 	/** Mean time of a run; 0 before the first. */
--- a/src/services/relay/upstream-chooser.ts
+++ b/src/services/relay/upstream-chooser.ts
@@ -67,6 +67,21 @@
 		}
 	}
 
+	/** Refusal threshold of a service: the mean of its upstreams', weighted by their limits. */
+	thresholdOf(service: string): number {
+		let weighted = 0;
+		let total = 0;
+		for (const member of this.membership.upstreams(service)) {
+			const {load, heardAtMs} = this.recordOf(member);
+			if (load && performance.now() - heardAtMs < loadLifetimeMs) {
+				weighted += load.threshold * load.limit;
+				total += load.limit;
+			}
+		}
+
+		return total === 0 ? 0 : weighted / total;
+	}
+
 	/** Drops what is known of members that are gone. */
 	forget(nodeId: string): void {
 		if (this.records.get(nodeId)?.inFlight === 0) {
