--- a/src/platform/settings/read-settings.ts
+++ b/src/platform/settings/read-settings.ts
@@ -24,8 +24,8 @@
 const gossipIntervalMs = 500;
 /** Share of the time to stop in which work may end by itself. */
 const stopShare = 0.9;
-/** Offset of the metrics port in the range for talk between nodes. */
-const metricsPortOffset = 1;
+/** Port of the counters, the same as in the deploy file, which has no placeholder for it. */
+const metricsPort = 9464;
 
 /** Reads the platform's settings file; throws `setting-invalid` that names every field at fault. */
 export function readSettings(path: string): PlatformSettings {
@@ -76,7 +76,7 @@
 			readyPort,
 			controlHost,
 			controlPort,
-			metricsPort: firstPort + metricsPortOffset,
+			metricsPort,
 			retryRatio: bounds.get('retryRatio') ?? 0.2,
 			retryWindowMs: (bounds.get('retryWindowS') ?? 10) * msPerSecond,
 			retrySlack: bounds.get('retrySlack') ?? 0,
--- a/src/programs/node/relay-node.ts
+++ b/src/programs/node/relay-node.ts
@@ -3,6 +3,8 @@
 import {DisposableStore} from '../../base/disposable-store.js';
 import {type Kernel} from '../../runtime/kernel/kernel.js';
 import {LogService} from '../../runtime/log/log-service.js';
+import {MetricsServer} from '../../runtime/metrics/metrics-server.js';
+import {MetricsService} from '../../runtime/metrics/metrics-service.js';
 import {PeerService} from '../../runtime/peer/peer-service.js';
 import {RelaySettingsService} from '../../runtime/settings/relay-settings-service.js';
 import {SettingsService} from '../../runtime/settings/settings-service.js';
@@ -47,6 +49,7 @@
 		await this.kernel.get(PeerService).listen();
 		await this.resources.add(this.kernel.create(ControlServer)).listen();
 		await this.resources.add(new ReadyServer(this.relay, () => this.isReady)).listen();
+		await this.resources.add(new MetricsServer(this.kernel.get(MetricsService))).listen(settings.address, this.relay.metricsPort);
 		await outbound.listen();
 		await Promise.all([
 			this.kernel.get(MembershipService).start(signal, this.relay.outboundPort),
--- a/src/programs/node/run-on-platform.ts
+++ b/src/programs/node/run-on-platform.ts
@@ -1,3 +1,4 @@
+import {watchFile} from 'node:fs';
 import process from 'node:process';
 import {type PlatformSettingsService} from '../../platform/settings/platform-settings-service.js';
 import {type PlatformSettings, readSettings} from '../../platform/settings/read-settings.js';
@@ -9,6 +10,9 @@
 import {RelayNode} from './relay-node.js';
 import {runUntilStopped} from './run-until-stopped.js';
 
+/** How often the settings file is looked at; it changes seldom. */
+const fileCheckIntervalMs = 2000;
+
 /** Runs a node with the platform's settings file, which is read again on SIGHUP. */
 export async function runOnPlatform(path: string): Promise<ExitStatus> {
 	let settings: PlatformSettings;
@@ -20,6 +24,10 @@
 	}
 
 	const kernel = createRelayKernel(settings);
+	// The file may change without a signal.
+	watchFile(path, {interval: fileCheckIntervalMs, persistent: false}, () => {
+		reload(kernel, path);
+	});
 	process.on('SIGHUP', () => {
 		reload(kernel, path);
 	});
--- a/src/services/relay/mesh-relay-service.ts
+++ b/src/services/relay/mesh-relay-service.ts
@@ -43,6 +43,7 @@
 /** Parts of what a service may get again: sent to it directly, and called deeper down by repeated requests, which up to three nodes of a chain count. */
 const directShare = 0.45;
 const deeperShare = 0.15;
+const okStatus = 200;
 const firstFailureStatus = 500;
 const goneStates: ReadonlySet<MemberState> = new Set([MemberState.Dead, MemberState.Left]);
 
@@ -249,10 +250,12 @@
 		return budget;
 	}
 
-	private logEnd({requestId, route, service}: RelayRequest, attempts: readonly Attempt[]): void {
+	private logEnd({requestId, route, service, isInner}: RelayRequest, attempts: readonly Attempt[]): void {
 		const last = attempts.at(-1);
 		this.metrics.count('relayed', {route, outcome: last?.answer ? String(last.answer.status) : last?.failure?.kind ?? ErrorKind.NoUpstream});
-		this.log.info('relayed', {
+		// Calls of running requests that went well at once are the bulk; they are told by their parents' lines and by the counters.
+		const isRoutine = isInner && attempts.length === 1 && last?.answer?.status === okStatus;
+		this.log[isRoutine ? 'debug' : 'info']('relayed', {
 			id: requestId,
 			route,
 			service,
