--- a/src/platform/control/control-server.ts
+++ b/src/platform/control/control-server.ts
@@ -1,5 +1,6 @@
 import {once} from 'node:events';
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import {type AddressInfo} from 'node:net';
 import {text} from 'node:stream/consumers';
 import {type Disposable} from '../../base/disposable.js';
 import {LogService} from '../../runtime/log/log-service.js';
@@ -26,6 +27,11 @@
 		@LogService private readonly log: LogService,
 	) {}
 
+	/** Port in use once listening. */
+	get port(): number {
+		return (this.server.address() as AddressInfo).port;
+	}
+
 	async listen(): Promise<void> {
 		const {controlHost, controlPort} = this.settings.relay;
 		this.server.listen(controlPort, controlHost);
--- a/src/platform/ready-server.ts
+++ b/src/platform/ready-server.ts
@@ -1,5 +1,6 @@
 import {once} from 'node:events';
 import {createServer} from 'node:http';
+import {type AddressInfo} from 'node:net';
 import {type Disposable} from '../base/disposable.js';
 import {type RelaySettings} from '../runtime/settings/relay-settings.js';
 
@@ -14,6 +15,11 @@
 
 	constructor(private readonly settings: RelaySettings, private readonly isReady: () => boolean) {}
 
+	/** Port in use once listening. */
+	get port(): number {
+		return (this.server.address() as AddressInfo).port;
+	}
+
 	async listen(): Promise<void> {
 		this.server.listen(this.settings.readyPort, this.settings.readyHost);
 		await once(this.server, 'listening');
--- a/src/programs/node/relay-node.ts
+++ b/src/programs/node/relay-node.ts
@@ -30,12 +30,21 @@
 	private readonly resources = new DisposableStore();
 	private readonly log: LogService;
 	private readonly executor: RelayExecutor;
+	private readonly control: ControlServer;
+	private readonly ready: ReadyServer;
 	private isStopping = false;
 
 	constructor(private readonly kernel: Kernel) {
 		this.resources.add(kernel);
 		this.log = kernel.get(LogService);
 		this.executor = this.resources.add(kernel.create(RelayExecutor));
+		this.control = this.resources.add(kernel.create(ControlServer));
+		this.ready = this.resources.add(new ReadyServer(this.relay, () => this.isReady));
+	}
+
+	/** Ports in use once started. */
+	get ports() {
+		return {outbound: this.kernel.get(OutboundService).port, control: this.control.port, ready: this.ready.port};
 	}
 
 	/** Opens the ports and joins the others; callers are refused until there is a policy. */
@@ -47,8 +56,8 @@
 		this.wire();
 		const outbound = this.kernel.get(OutboundService);
 		await this.kernel.get(PeerService).listen();
-		await this.resources.add(this.kernel.create(ControlServer)).listen();
-		await this.resources.add(new ReadyServer(this.relay, () => this.isReady)).listen();
+		await this.control.listen();
+		await this.ready.listen();
 		await this.resources.add(new MetricsServer(this.kernel.get(MetricsService))).listen(settings.address, this.relay.metricsPort);
 		await outbound.listen();
 		await Promise.all([
@@ -65,8 +74,8 @@
 		this.kernel.get(MembershipService).drain();
 		this.kernel.get(OutboundService).drain();
 		await delay(unreadyMs);
-		const leftMs = this.relay.graceMs - closingMs - (performance.now() - beganAtMs);
-		const signal = AbortSignal.timeout(Math.max(1, leftMs));
+		const leftMs = Math.max(1, Math.floor(this.relay.graceMs - closingMs - (performance.now() - beganAtMs)));
+		const signal = AbortSignal.timeout(leftMs);
 		await Promise.race([this.finish(signal), delay(leftMs)]);
 		this.log.info('stopped', {elapsedMs: Math.round(performance.now() - beganAtMs)});
 	}
--- a/src/services/membership/registration-reader.ts
+++ b/src/services/membership/registration-reader.ts
@@ -86,6 +86,7 @@
 
 	/** The task that lists again and takes up or lays down the watch, until it is stopped. */
 	async run(signal: AbortSignal): Promise<void> {
+		this.setRole(this.listed && this.isWatcher());
 		while (!signal.aborted) {
 			const leftMs = Math.max(1, this.relistAtMs - performance.now());
 			await this.waiter.wait(Math.min(leftMs, this.random.jitter(roleCheckMs, jitterShare)), signal);
--- /dev/null
+++ b/standins/platform/test/relay-fixture.ts
@@ -0,0 +1,102 @@
+import {once} from 'node:events';
+import {
+	request, type Agent, type IncomingMessage, type OutgoingHttpHeaders,
+} from 'node:http';
+import {text} from 'node:stream/consumers';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {LogService} from '../../../src/runtime/log/log-service.js';
+import {testSettings} from '../../../src/runtime/peer/test/peer-fixture.js';
+import {MembershipService} from '../../../src/services/membership/membership-service.js';
+import {PlatformBackendStandIn} from '../platform-backend-stand-in.js';
+import {StoreStandIn} from '../../store/store-stand-in.js';
+import {createRelayKernel} from '../../../src/programs/node/create-relay-kernel.js';
+import {RelayNode} from '../../../src/programs/node/relay-node.js';
+
+const quietLog: LogService = {
+	debug() {/* Quiet. */}, info() {/* Quiet. */}, warn() {/* Quiet. */}, error() {/* Quiet. */},
+};
+const pollMs = 5;
+
+type Teardown = {
+	teardown(release: () => void): void;
+};
+
+export type RelayAnswer = {
+	readonly status: number;
+	readonly headers: IncomingMessage['headers'];
+	readonly body: string;
+};
+
+export type RelayRequestOptions = {
+	readonly host: string;
+	readonly path: string;
+	readonly id: string;
+	readonly method?: string;
+	readonly headers?: OutgoingHttpHeaders;
+	readonly body?: string;
+	readonly agent?: Agent;
+};
+
+/** A store stand-in with a configuration, and nodes with backend servers beside them. */
+export class RelayMesh {
+	readonly store = new StoreStandIn();
+
+	constructor(private readonly t: Teardown) {
+		t.teardown(() => {
+			this.store.dispose();
+		});
+	}
+
+	/** Writes a configuration as operators do. */
+	configure(version: number, routes: readonly unknown[]): void {
+		this.store.state.put('op/config', JSON.stringify({
+			version: `r${version}`,
+			routes,
+			services: [],
+			limits: {
+				maxHeaderBytes: 4096, maxBodyBytes: 100_000, headerTimeoutS: 1, idleTimeoutS: 5,
+			},
+		}), undefined);
+	}
+
+	async startNode(name: string, service: string, zone = 'zone-a') {
+		const backend = new PlatformBackendStandIn(service, `i-${name}`);
+		await backend.listen();
+		const host = '127.0.0.1';
+		const kernel = createRelayKernel({
+			node: {
+				...testSettings(name), availabilityZone: zone, storeUrls: [this.store.url], probeAfterMs: 300, abandonAfterMs: 300,
+			},
+			relay: {
+				service, backendHost: host, backendPort: backend.port, outboundHost: host, outboundPort: 0, readyHost: host, readyPort: 0, controlHost: host, controlPort: 0, metricsPort: 0,
+				retryRatio: 0.2, retryWindowMs: 10_000, retrySlack: 48, graceMs: 4500, announceIntervalMs: 1500,
+			},
+		}).registerInstance(LogService, quietLog);
+		const node = new RelayNode(kernel);
+		this.t.teardown(() => {
+			node.dispose();
+			backend.dispose();
+		});
+		await node.start(new AbortController().signal);
+		return {node, backend, membership: kernel.get(MembershipService)};
+	}
+}
+
+/** Sends a request to a node and returns its whole answer. */
+export async function send(port: number, {host, path, id, method = 'GET', headers = {}, body, agent}: RelayRequestOptions): Promise<RelayAnswer> {
+	const sent = request({
+		host: '127.0.0.1', port, method, path, agent, headers: {
+			host, 'X-Request-Id': id, 'X-Deadline-Ms': '2000', ...headers,
+		},
+	});
+	sent.end(body);
+	const [response] = await once(sent, 'response') as [IncomingMessage];
+	return {status: response.statusCode!, headers: response.headers, body: await text(response)};
+}
+
+/** Waits until a condition holds; the runner's timeout ends it. */
+export async function until(condition: () => boolean | Promise<boolean>): Promise<void> {
+	while (!await condition()) {
+		await sleep(pollMs);
+	}
+}
--- /dev/null
+++ b/standins/platform/test/relay-node.test.ts
@@ -0,0 +1,147 @@
+import {Agent} from 'node:http';
+import {connect} from 'node:net';
+import {text} from 'node:stream/consumers';
+import test from 'ava';
+import {RelayMesh, send, until} from './relay-fixture.js';
+
+const read = {
+	name: 'read', host: 'a.example', prefix: '/read/', kind: 'idempotent', timeoutS: 1, goalS: 0.5, priority: 1, attempts: 2, service: 'catalogue',
+};
+const charge = {
+	name: 'charge', host: 'a.example', prefix: '/charge/', kind: 'mutating', timeoutS: 1, goalS: 0.5, priority: 0, attempts: 2, service: 'desk',
+};
+
+async function startPair(t: ConstructorParameters<typeof RelayMesh>[0]) {
+	const mesh = new RelayMesh(t);
+	await mesh.store.listen();
+	mesh.configure(3, [read, charge]);
+	const desk = await mesh.startNode('desk-1', 'desk');
+	const catalogue = await mesh.startNode('catalogue-1', 'catalogue', 'zone-b');
+	await desk.backend.report(desk.node.ports.control, {seq: 1});
+	await catalogue.backend.report(catalogue.node.ports.control, {seq: 1});
+	await until(() => desk.membership.upstreams('catalogue').length === 1 && catalogue.membership.upstreams('desk').length === 1);
+	return {mesh, desk, catalogue};
+}
+
+test('requests reach the service of their route, from either node, and whole answers come back', async t => {
+	const {desk, catalogue} = await startPair(t);
+	const first = await send(desk.node.ports.outbound, {
+		host: 'a.example', path: '/read/x?y=1', id: 'r1', headers: {'X-Caller': 'forged', 'X-Expect-Instance': 'forged'},
+	});
+	t.like(first, {status: 200, body: 'catalogue ran r1'});
+	t.is(first.headers['x-server-seal'], 'seal-r1');
+	const second = await send(catalogue.node.ports.outbound, {
+		host: 'a.example', path: '/charge/x', id: 'r2', method: 'POST', body: 'pay',
+	});
+	t.like(second, {status: 200, body: 'desk ran r2'});
+	t.like(catalogue.backend.runs, [{
+		id: 'r1', url: '/read/x?y=1', caller: 'desk', body: '',
+	}]);
+	t.like(desk.backend.runs, [{
+		id: 'r2', method: 'POST', caller: 'catalogue', body: 'pay',
+	}]);
+	t.true(catalogue.backend.runs[0].deadlineMs <= 1000);
+});
+
+test('before a configuration requests are refused and nobody is ready; a route that it does not have is not found', async t => {
+	const mesh = new RelayMesh(t);
+	await mesh.store.listen();
+	const desk = await mesh.startNode('desk-1', 'desk');
+	const request = {host: 'a.example', path: '/read/x', id: 'r1'};
+	const {outbound, ready} = desk.node.ports;
+	t.like(await send(outbound, request), {status: 503});
+	t.like(await send(ready, {...request, path: '/v1/ready'}), {status: 503});
+	mesh.configure(1, [read]);
+	await until(async () => {
+		const {status} = await send(ready, {...request, path: '/v1/ready'});
+		return status === 200;
+	});
+	t.like(await send(outbound, {...request, path: '/other/x'}), {status: 404});
+	const refused = await send(outbound, request);
+	t.is(refused.status, 503);
+	t.true(Number(refused.headers['retry-after']) > 0);
+});
+
+test('a node sends nothing to a backend server from the tick in which it acknowledges its leaving', async t => {
+	const {desk, catalogue} = await startPair(t);
+	const {control} = catalogue.node.ports;
+	t.is(await catalogue.backend.report(control, {seq: 2, state: 'draining'}), 200);
+	t.like(await send(desk.node.ports.outbound, {host: 'a.example', path: '/read/x', id: 'r1'}), {status: 503});
+	t.is(await catalogue.backend.report(control, {seq: 1}), 200);
+	t.like(await send(desk.node.ports.outbound, {host: 'a.example', path: '/read/x', id: 'r2'}), {status: 503});
+	t.is(catalogue.backend.runs.length, 0);
+});
+
+test('malformed reports are refused and harm nothing', async t => {
+	const {desk, catalogue} = await startPair(t);
+	const {control} = catalogue.node.ports;
+	const malformed = await send(control, {
+		host: 'c', path: '/v1/instances/i-x', id: 'r', method: 'PUT', body: '{"address":7}',
+	});
+	t.is(malformed.status, 400);
+	t.like(await send(desk.node.ports.outbound, {host: 'a.example', path: '/read/x', id: 'r1'}), {status: 200});
+});
+
+test('a run that takes longer than its route allows ends in a final answer, and its work is ended', async t => {
+	const {desk, catalogue} = await startPair(t);
+	catalogue.backend.workMs = 3000;
+	const beganAtMs = performance.now();
+	t.like(await send(desk.node.ports.outbound, {host: 'a.example', path: '/read/x', id: 'r1'}), {status: 504});
+	t.true(performance.now() - beganAtMs >= 1000);
+});
+
+test('changed routes are in force and earlier versions never come back', async t => {
+	const {mesh, desk} = await startPair(t);
+	mesh.configure(7, [{...read, service: 'desk'}]);
+	await until(async () => {
+		const {body} = await send(desk.node.ports.outbound, {host: 'a.example', path: '/read/x', id: 'r1'});
+		return body.startsWith('desk');
+	});
+	mesh.configure(5, [read]);
+	mesh.configure(9, [{...read, service: 'desk'}, charge]);
+	await until(async () => {
+		const {status} = await send(desk.node.ports.outbound, {
+			host: 'a.example', path: '/charge/x', id: 'r3', method: 'POST',
+		});
+		return status === 200;
+	});
+	t.like(await send(desk.node.ports.outbound, {host: 'a.example', path: '/read/x', id: 'r2'}), {body: 'desk ran r2'});
+});
+
+test('a node that is told to stop answers what it has and what still comes, then ends', async t => {
+	const {desk, catalogue} = await startPair(t);
+	const agent = new Agent({keepAlive: true});
+	catalogue.backend.workMs = 300;
+	const request = {host: 'a.example', path: '/read/x', agent};
+	const running = send(desk.node.ports.outbound, {...request, id: 'r1'});
+	await until(() => catalogue.backend.runs.length === 1);
+	const {outbound, ready} = desk.node.ports;
+	const stopped = desk.node.stop();
+	t.like(await send(ready, {host: 'r', path: '/v1/ready', id: 'r'}), {status: 503});
+	t.like(await running, {status: 200});
+	const later = await send(outbound, {...request, id: 'r2'});
+	t.like(later, {status: 200});
+	t.is(later.headers.connection, 'close');
+	await stopped;
+	agent.destroy();
+	t.is(catalogue.backend.runs.length, 2);
+});
+
+const badRequests: ReadonlyArray<readonly [name: string, bytes: string, status: number]> = [
+	['bytes that are no request', 'nonsense\r\n\r\n', 400],
+	['a head that is too large', `GET /read/x HTTP/1.1\r\nhost: a.example\r\nx: ${'y'.repeat(20_000)}\r\n\r\n`, 431],
+	['a body that is too large', 'POST /read/x HTTP/1.1\r\nhost: a.example\r\nx-request-id: r\r\ncontent-length: 200000\r\n\r\n', 413],
+	['a request without an id', 'GET /read/x HTTP/1.1\r\nhost: a.example\r\n\r\n', 400],
+	['a length that is no number', 'POST /read/x HTTP/1.1\r\nhost: a.example\r\nx-request-id: r\r\ncontent-length: x\r\n\r\n', 400],
+];
+
+for (const [name, bytes, status] of badRequests) {
+	test(`${name} is answered ${status} and nothing is run`, async t => {
+		const {desk, catalogue} = await startPair(t);
+		const socket = connect(desk.node.ports.outbound, '127.0.0.1');
+		socket.end(bytes);
+		const answer = await text(socket);
+		t.true(answer.startsWith(`HTTP/1.1 ${status} `));
+		t.is(catalogue.backend.runs.length, 0);
+	});
+}
