Keep the limit of a backend server that refuses at random; let callers that have waited go first

Refusals now count only while most announced slots are in use. Test fails first: a backend server that refuses at random keeps its limit.

--- a/src/services/outbound/http-outbound-service.ts
+++ b/src/services/outbound/http-outbound-service.ts
@@ -21,6 +21,7 @@
 import {RouteTable} from '../routes/route-table.js';
 import {answerMalformed} from '../callers/answer-malformed.js';
 import {type OutboundService} from './outbound-service.js';
+import {PatienceMemory} from './patience-memory.js';
 import {statusOf, writeFailure} from './write-failure.js';
 
 /** How often connections are checked for heads that take too long. */
@@ -48,6 +49,7 @@
 
 	/** Connections with requests under way, and how many. */
 	private readonly running = new Map<Duplex, number>();
+	private readonly patience = new PatienceMemory();
 	private table: RouteTable | undefined;
 	private maxBodyBytes = Number.POSITIVE_INFINITY;
 	private isDraining = false;
@@ -153,6 +155,7 @@
 		const patienceMs = Number(findHeader(message.rawHeaders, this.names.deadlineMs) ?? Number.NaN);
 		const timeoutMs = patienceMs >= 0 ? Math.min(patienceMs, matched.timeoutMs) : matched.timeoutMs;
 		const endsAtMs = enteredAtMs + timeoutMs;
+		const isInner = this.runningRequests.isCalledFor(requestId);
 		const attachment = await this.readBody(message, endsAtMs);
 		return {
 			requestId,
@@ -161,7 +164,8 @@
 			method: message.method!,
 			target: message.url!,
 			headers: [...keepEndToEnd(message.rawHeaders, this.replacedHeaders), this.names.caller, this.settings.relay.service],
-			isInner: this.runningRequests.isCalledFor(requestId),
+			isInner,
+			hasWaited: !isInner && this.patience.hasWaited(matched.name, patienceMs),
 			attachment,
 		};
 	}
--- a/src/services/relay/mesh-relay-service.ts
+++ b/src/services/relay/mesh-relay-service.ts
@@ -43,6 +43,8 @@
 /** Parts of what a service may get again: sent to it directly, and called deeper down by repeated requests, which up to three nodes of a chain count. */
 const directShare = 0.45;
 const deeperShare = 0.15;
+/** Ranks by which a request goes before its like when its caller was refused before: being refused again is worse than once. */
+const waitedBonus = 0.8;
 const okStatus = 200;
 const firstFailureStatus = 500;
 const goneStates: ReadonlySet<MemberState> = new Set([MemberState.Dead, MemberState.Left]);
@@ -154,12 +156,12 @@
 	}
 
 	/** Refuses a request that a service on its way would refuse now; calls of running requests always go on. */
-	private refuseEarly({requestId, route, service, priority, isInner}: RelayRequest): void {
+	private refuseEarly({requestId, route, service, priority, isInner, hasWaited}: RelayRequest): void {
 		if (isInner) {
 			return;
 		}
 
-		const rank = Math.max(0, highestRank - priority) + rootShare(requestId);
+		const rank = Math.max(0, highestRank - priority) + rootShare(requestId) + (hasWaited ? waitedBonus : 0);
 		for (const name of [service, ...this.callGraph.callsOf(route).keys()]) {
 			const threshold = this.callGraph.thresholdOf(name);
 			if (rank < threshold) {
--- a/src/services/relay/relay-executor.ts
+++ b/src/services/relay/relay-executor.ts
@@ -25,8 +25,8 @@
 import {RunningRequests} from './running-requests.js';
 import {SlotQueue} from './slot-queue.js';
 
-/** Share of the limit from which on a refusal counts as a sign of overload. */
-const fullShare = 0.6;
+/** Share of the announced slots from which on a refusal counts as a sign of overload; below, the backend server refuses at random. */
+const fullShare = 0.85;
 
 type Offer = {
 	/** Whether the backend server was sent the request. */
@@ -97,7 +97,7 @@
 		} catch (error) {
 			const failure = toWireError(error);
 			// With few requests at work a refusal says nothing of how much the backend server can run.
-			if (failure.kind === ErrorKind.BackendShed && this.queue.running > this.limit.limit * fullShare) {
+			if (failure.kind === ErrorKind.BackendShed && this.queue.running > (this.instances.current?.slots ?? 0) * fullShare) {
 				this.limit.noteShed(this.queue.running);
 			}
 
@@ -134,7 +134,9 @@
 		}
 
 		this.observe();
-		await this.queue.enter({isInner: request.isInner, priority: request.priority, endsAtMs}, call.signal);
+		await this.queue.enter({
+			isInner: request.isInner, hasWaited: request.hasWaited, priority: request.priority, endsAtMs,
+		}, call.signal);
 		try {
 			return await this.send(request, endsAtMs, call.signal, offer);
 		} finally {
--- a/src/services/relay/relay-request.ts
+++ b/src/services/relay/relay-request.ts
@@ -11,6 +11,8 @@
 	readonly idempotent: boolean;
 	/** Rank of the route, 0 the highest. */
 	readonly priority: number;
+	/** Whether the caller has been waiting since an earlier attempt that was refused. */
+	readonly hasWaited: boolean;
 	/** Whether a running request makes this call; what is paid for that one is lost if it fails. */
 	readonly isInner: boolean;
 	/** Body of the request, carried as bytes. */
--- a/src/services/relay/slot-queue.ts
+++ b/src/services/relay/slot-queue.ts
@@ -4,6 +4,8 @@
 
 export type QueuedWork = {
 	readonly isInner: boolean;
+	/** Whether its caller was refused before and has waited. */
+	readonly hasWaited: boolean;
 	/** Rank, 0 the highest. */
 	readonly priority: number;
 	/** Steady clock at which its time is over. */
@@ -144,5 +146,6 @@
 function compareWork(left: QueuedWork, right: QueuedWork): number {
 	return Number(right.isInner) - Number(left.isInner)
 		|| left.priority - right.priority
+		|| Number(right.hasWaited) - Number(left.hasWaited)
 		|| left.endsAtMs - right.endsAtMs;
 }
--- a/src/services/relay/test/slot-queue.test.ts
+++ b/src/services/relay/test/slot-queue.test.ts
@@ -5,7 +5,9 @@
 const never = new AbortController().signal;
 
 function work(priority: number, leftMs = 1000, isInner = false): QueuedWork {
-	return {isInner, priority, endsAtMs: performance.now() + leftMs};
+	return {
+		isInner, hasWaited: false, priority, endsAtMs: performance.now() + leftMs,
+	};
 }
 
 /** Enters work and tells its name when it may begin. */
--- a/standins/platform/platform-backend-stand-in.ts
+++ b/standins/platform/platform-backend-stand-in.ts
@@ -27,8 +27,13 @@
 /** Stand-in for a backend server on the platform: echoes ids, signs, refuses what is meant for another boot, and reports itself. */
 export class PlatformBackendStandIn implements Disposable {
 	readonly runs: PlatformRun[] = [];
+	/** Requests that it still refuses without running them. */
+	refusals = 0;
+	/** Most requests that were at work at one moment. */
+	peakRunning = 0;
 	/** Time that each run takes. */
 	workMs = 0;
+	private running = 0;
 	private readonly server = createServer((message, response) => {
 		void this.handle(message, response);
 	});
@@ -81,6 +86,12 @@
 			return;
 		}
 
+		if (this.refusals > 0) {
+			this.refusals--;
+			response.writeHead(503, {'X-Not-Run': '1'}).end();
+			return;
+		}
+
 		const body = await buffer(message);
 		this.runs.push({
 			id,
@@ -90,7 +101,10 @@
 			body: body.toString(),
 			deadlineMs: Number(message.headers['x-deadline-ms']),
 		});
+		this.running++;
+		this.peakRunning = Math.max(this.peakRunning, this.running);
 		await sleep(this.workMs);
+		this.running--;
 		response.writeHead(200, {'X-Server-Seal': `seal-${id}`});
 		response.end(`${this.service} ran ${id}`);
 	}
--- a/standins/platform/test/relay-node.test.ts
+++ b/standins/platform/test/relay-node.test.ts
@@ -1,6 +1,7 @@
 import {Agent} from 'node:http';
 import {connect} from 'node:net';
 import {text} from 'node:stream/consumers';
+import {setTimeout as sleep} from 'node:timers/promises';
 import test from 'ava';
 import {RelayMesh, send, until} from './relay-fixture.js';
 
@@ -72,6 +73,23 @@
 	t.is(catalogue.backend.runs.length, 0);
 });
 
+test('a backend server that refuses at random while it runs little keeps its limit', async t => {
+	const {desk, catalogue} = await startPair(t);
+	const request = {host: 'a.example', path: '/read/x'};
+	const sendTogether = async (count: number) => Promise.all(Array.from({length: count}, async (_, index) =>
+		send(desk.node.ports.outbound, {...request, id: `r${index}`})));
+	for (let round = 0; round < 6; round++) {
+		catalogue.backend.refusals = 9;
+		await sendTogether(9);
+		await sleep(110);
+	}
+
+	catalogue.backend.refusals = 0;
+	catalogue.backend.workMs = 300;
+	await sendTogether(10);
+	t.is(catalogue.backend.peakRunning, 10);
+});
+
 test('malformed reports are refused and harm nothing', async t => {
 	const {desk, catalogue} = await startPair(t);
 	const {control} = catalogue.node.ports;
