Compare three candidates and pass over those that mostly fail; serve peers a little longer after SIGTERM

Cause: with few upstreams of a service two draws often meet only those that are cut off; and a node that restarts beside a living backend server took it out of service for the whole of its stop.

--- a/src/programs/node/relay-node.ts
+++ b/src/programs/node/relay-node.ts
@@ -20,8 +20,10 @@
 import {RelayExecutor} from '../../services/relay/relay-executor.js';
 import {version} from './version.js';
 
-/** Time in which callers learn that a stopping node isn't ready; it serves on until then. */
-const unreadyMs = 3000;
+/** Time in which other nodes may still send work to the backend server of a stopping node, which is without it only until the node is back. */
+const lingerMs = 1200;
+/** Time after that in which callers and nodes learn that it leaves; it serves callers on until then. */
+const unreadyMs = 1600;
 /** Part of the time to stop that is left for ending connections and the registration. */
 const closingMs = 500;
 
@@ -71,8 +73,9 @@
 		this.isStopping = true;
 		const beganAtMs = performance.now();
 		this.log.info('stop', {graceMs: this.relay.graceMs});
-		this.kernel.get(MembershipService).drain();
 		this.kernel.get(OutboundService).drain();
+		await delay(lingerMs);
+		this.kernel.get(MembershipService).drain();
 		await delay(unreadyMs);
 		const leftMs = Math.max(1, Math.floor(this.relay.graceMs - closingMs - (performance.now() - beganAtMs)));
 		const signal = AbortSignal.timeout(leftMs);
--- /dev/null
+++ b/src/services/relay/test/upstream-chooser.test.ts
@@ -0,0 +1,64 @@
+import {install} from '@sinonjs/fake-timers';
+import test from 'ava';
+import {createRandom} from '../../../base/create-random.js';
+import {type Member} from '../../membership/member.js';
+import {type MembershipService} from '../../membership/membership-service.js';
+import {UpstreamChooser} from '../upstream-chooser.js';
+
+function member(nodeId: string, availabilityZone: string): Member {
+	const known: Partial<Member> = {nodeId, availabilityZone, slots: 10};
+	return known as Member;
+}
+
+function openChooser(members: readonly Member[]): UpstreamChooser {
+	return new UpstreamChooser({upstreams: () => members} as unknown as MembershipService, 'zone-a', createRandom(7, 'test'));
+}
+
+/** How many of some choices went to each upstream; each choice ends as told before the next. */
+function countChoices(chooser: UpstreamChooser, count: number, outcomeOf: (nodeId: string) => {elapsedMs: number; succeeded: boolean}): Record<string, number> {
+	const counts: Record<string, number> = {};
+	for (let index = 0; index < count; index++) {
+		const chosen = chooser.choose('s', new Set())!;
+		counts[chosen.nodeId] = (counts[chosen.nodeId] ?? 0) + 1;
+		chooser.noteEnd(chosen, outcomeOf(chosen.nodeId));
+	}
+
+	return counts;
+}
+
+test('the own zone goes first while it has room, then the others', t => {
+	const near = member('near', 'zone-a');
+	const chooser = openChooser([near, member('far', 'zone-b')]);
+	t.deepEqual(countChoices(chooser, 50, () => ({elapsedMs: 20, succeeded: true})), {near: 50});
+	const chosen = new Set<string>();
+	for (let index = 0; index < 20; index++) {
+		chosen.add(chooser.choose('s', new Set())!.nodeId);
+	}
+
+	t.deepEqual(chosen, new Set(['near', 'far']));
+});
+
+test('an upstream that mostly fails is passed over for another zone, and tried again later', t => {
+	const clock = install();
+	t.teardown(() => {
+		clock.uninstall();
+	});
+	const chooser = openChooser([member('near', 'zone-a'), member('far', 'zone-b')]);
+	const outcome = (nodeId: string) => ({elapsedMs: 20, succeeded: nodeId !== 'near'});
+	const counts = countChoices(chooser, 100, outcome);
+	t.true(counts.near < 10);
+	clock.tick(10_000);
+	t.true(countChoices(chooser, 10, outcome).near > 0);
+});
+
+test('where all fail, all are tried', t => {
+	const chooser = openChooser([member('one', 'zone-a'), member('two', 'zone-a')]);
+	const counts = countChoices(chooser, 40, () => ({elapsedMs: 20, succeeded: false}));
+	t.is(Object.keys(counts).length, 2);
+});
+
+test('a quicker upstream gets more of the work', t => {
+	const chooser = openChooser([member('quick', 'zone-a'), member('slow', 'zone-a')]);
+	const counts = countChoices(chooser, 200, nodeId => ({elapsedMs: nodeId === 'quick' ? 20 : 100, succeeded: true}));
+	t.true(counts.quick > (counts.slow ?? 0));
+});
--- a/src/services/relay/upstream-chooser.ts
+++ b/src/services/relay/upstream-chooser.ts
@@ -11,6 +11,10 @@
 const fullShare = 0.85;
 /** Share of failures above which an upstream of another zone is worth the way. */
 const failingShare = 0.3;
+/** Share of failures from which on an upstream is passed over while another is sound. */
+const unsoundShare = 0.5;
+/** Candidates that are compared: services have few upstreams, of very different speeds. */
+const draws = 3;
 /** How strongly work beyond the limit counts: it waits for a whole run or more. */
 const overfullFactor = 4;
 
@@ -89,15 +93,21 @@
 		}
 	}
 
-	/** The better of two different candidates drawn by limit (the power of two choices). */
+	/** The best of some different candidates drawn by limit; those that mostly fail only where all do. */
 	private pick(candidates: readonly Member[]): Member | undefined {
-		const first = this.drawByLimit(candidates);
-		const second = this.drawByLimit(candidates.filter(member => member !== first));
-		if (!first || !second) {
-			return first;
+		const sound = candidates.filter(member => this.recordOf(member).health.failureShare < unsoundShare);
+		let left = sound.length > 0 ? sound : candidates;
+		let best: Member | undefined;
+		for (let draw = 0; draw < draws; draw++) {
+			const drawn = this.drawByLimit(left);
+			if (drawn && (!best || this.expectedMs(drawn) < this.expectedMs(best))) {
+				best = drawn;
+			}
+
+			left = left.filter(member => member !== drawn);
 		}
 
-		return this.expectedMs(second) < this.expectedMs(first) ? second : first;
+		return best;
 	}
 
 	private drawByLimit(candidates: readonly Member[]): Member | undefined {
