Never blame the caller for what happened on the way; let no work starve in the queue

The end of a wait now has the kind of what ended it, and no failure on the way has a 4xx status. Work now goes in order of arrival with bounded advances, and of one rank requests that need a service many times are refused before those that need it once.

--- a/src/services/outbound/write-failure.ts
+++ b/src/services/outbound/write-failure.ts
@@ -5,12 +5,14 @@
 
 const unavailableStatus = 503;
 const badGatewayStatus = 502;
+/** Statuses below blame the caller, which no failure on the way does. */
+const firstServerFailureStatus = 500;
 const msPerSecond = 1000;
 /** Statuses by which a caller understands that its request has not run and never will. */
 const promisingStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** Kinds that are the caller's own doing or the end of its time: their status stays, run or not. */
 const finalKinds: ReadonlySet<ErrorKind> = new Set([
-	ErrorKind.BadRequest, ErrorKind.RouteUnknown, ErrorKind.BodyTooLarge, ErrorKind.DeadlineExceeded, ErrorKind.CallerGone, ErrorKind.RequestTimeout,
+	ErrorKind.BadRequest, ErrorKind.RouteUnknown, ErrorKind.BodyTooLarge, ErrorKind.DeadlineExceeded, ErrorKind.RequestTimeout,
 ]);
 
 /** The status for a failure: a refusal that promises "not run" only where that is certain. */
@@ -24,7 +26,7 @@
 	}
 
 	const {status} = errorAnswers[kind];
-	return promisingStatuses.has(status) ? badGatewayStatus : status;
+	return status < firstServerFailureStatus || promisingStatuses.has(status) ? badGatewayStatus : status;
 }
 
 /** Answers a failure, with the time after which a new attempt is worth making where the request has not run. */
--- a/src/services/relay/mesh-relay-service.ts
+++ b/src/services/relay/mesh-relay-service.ts
@@ -161,9 +161,12 @@
 			return;
 		}
 
-		const rank = Math.max(0, highestRank - priority) + rootShare(requestId) + (hasWaited ? waitedBonus : 0);
-		for (const name of [service, ...this.callGraph.callsOf(route).keys()]) {
+		const basis = Math.max(0, highestRank - priority) + (hasWaited ? waitedBonus : 0);
+		const share = rootShare(requestId);
+		for (const [name, calls] of [[service, 1] as const, ...this.callGraph.callsOf(route)]) {
 			const threshold = this.callGraph.thresholdOf(name);
+			// Of one rank, requests that need a service many times are refused before those that need it once.
+			const rank = basis + (calls > 1 ? share / 2 : 0.5 + (share / 2));
 			if (rank < threshold) {
 				const retryAfterMs = leastRetryMs + (retrySpreadMs * uniformFloat64(this.random));
 				this.log.info('refused early', {
--- a/src/services/relay/slot-queue.ts
+++ b/src/services/relay/slot-queue.ts
@@ -13,18 +13,26 @@
 };
 
 type Waiting = QueuedWork & {
+	readonly order: number;
 	readonly admitted: Deferred<void>;
 	readonly enqueuedAtMs: number;
 };
 
+/** How far calls of running requests go before others that came earlier: their parents hold slots meanwhile. */
+const innerAdvanceMs = 100;
+/** How far each step of priority puts work back; below an eighth of the shortest objectives. */
+const priorityStepMs = 30;
+const lowestPriority = 4;
+/** How far a request goes before its like when its caller has waited since a refusal. */
+const waitedAdvanceMs = 50;
 /** Share of the usual run time that must be left for work to be begun at all. */
 const leastTimeShare = 0.5;
 /** Weight of the latest run in the mean run time. */
 const latestWeight = 0.05;
 
 /**
-Slots of the VM's backend server and the work that waits for one: calls of running requests first, then by priority,
-then by deadline. Work that can't end in time is refused before it is begun.
+Slots of the VM's backend server and the work that waits for one: in order of arrival, with bounded advances for calls of
+running requests and for priority, so that nothing starves. Work that can't end in time is refused before it is begun.
 */
 export class SlotQueue {
 	private readonly waiting: Waiting[] = [];
@@ -55,7 +63,7 @@
 	/** Time that work of this rank would wait if it came now. */
 	expectedWaitMs(work: QueuedWork): number {
 		const limit = Math.max(1, this.limit());
-		const ahead = this.findPlace(work);
+		const ahead = this.findPlace(orderOf(work, performance.now()));
 		const surplus = this.runningCount + ahead + 1 - limit;
 		return Math.max(0, surplus) * this.meanRunMs / limit;
 	}
@@ -73,7 +81,10 @@
 			throw new KumquatlineError(ErrorKind.Overloaded, 'the queue is too long for the time left', {started: false, retryAfterMs: waitMs});
 		}
 
-		await this.wait({...work, admitted: new Deferred<void>(), enqueuedAtMs: performance.now()}, signal);
+		const enqueuedAtMs = performance.now();
+		await this.wait({
+			...work, admitted: new Deferred<void>(), enqueuedAtMs, order: orderOf(work, enqueuedAtMs),
+		}, signal);
 	}
 
 	/** Mean time of a run; 0 before the first. */
@@ -110,15 +121,15 @@
 			const index = this.waiting.indexOf(work);
 			if (index !== -1) {
 				this.waiting.splice(index, 1);
-				work.admitted.reject(new KumquatlineError(ErrorKind.CallerGone, 'given up in the queue', {started: false}));
+				work.admitted.reject(endOfWait(signal, 'in the queue'));
 			}
 		};
 
 		if (signal.aborted) {
-			throw new KumquatlineError(ErrorKind.CallerGone, 'given up before the queue', {started: false});
+			throw endOfWait(signal, 'before the queue');
 		}
 
-		this.waiting.splice(this.findPlace(work), 0, work);
+		this.waiting.splice(this.findPlace(work.order), 0, work);
 		signal.addEventListener('abort', onAbort, {once: true});
 		try {
 			await work.admitted.promise;
@@ -127,12 +138,12 @@
 		}
 	}
 
-	private findPlace(work: QueuedWork): number {
+	private findPlace(order: number): number {
 		let low = 0;
 		let high = this.waiting.length;
 		while (low < high) {
 			const middle = Math.floor((low + high) / 2);
-			if (compareWork(this.waiting[middle], work) <= 0) {
+			if (this.waiting[middle].order <= order) {
 				low = middle + 1;
 			} else {
 				high = middle;
@@ -143,9 +154,16 @@
 	}
 }
 
-function compareWork(left: QueuedWork, right: QueuedWork): number {
-	return Number(right.isInner) - Number(left.isInner)
-		|| left.priority - right.priority
-		|| Number(right.hasWaited) - Number(left.hasWaited)
-		|| left.endsAtMs - right.endsAtMs;
+/** Place of work in the queue: when it came, put off for each step of priority and brought forward for what is paid for it already. */
+function orderOf({isInner, hasWaited, priority}: QueuedWork, enqueuedAtMs: number): number {
+	return enqueuedAtMs
+		+ (Math.min(priority, lowestPriority) * priorityStepMs)
+		- (isInner ? innerAdvanceMs : 0)
+		- (hasWaited ? waitedAdvanceMs : 0);
+}
+
+/** What work that leaves the queue early is told: its time is over, or nobody waits for it. */
+function endOfWait({reason}: AbortSignal, place: string): KumquatlineError {
+	const kind = reason instanceof KumquatlineError ? reason.kind : ErrorKind.CallerGone;
+	return new KumquatlineError(kind, `given up ${place}`, {started: false});
 }
