--- a/src/programs/node/relay-node.ts
+++ b/src/programs/node/relay-node.ts
@@ -76,6 +76,7 @@
 		this.kernel.get(OutboundService).drain();
 		await delay(lingerMs);
 		this.kernel.get(MembershipService).drain();
+		this.executor.drain();
 		await delay(unreadyMs);
 		const leftMs = Math.max(1, Math.floor(this.relay.graceMs - closingMs - (performance.now() - beganAtMs)));
 		const signal = AbortSignal.timeout(leftMs);
--- a/src/services/relay/relay-executor.ts
+++ b/src/services/relay/relay-executor.ts
@@ -15,8 +15,6 @@
 import {InstanceSource} from '../backend/instance-source.js';
 import {type ExchangeAnswer} from '../exchange/exchange-answer.js';
 import {ExchangeService} from '../exchange/exchange-service.js';
-import {MemberState} from '../membership/member-state.js';
-import {MembershipService} from '../membership/membership-service.js';
 import {BackendBreaker} from './backend-breaker.js';
 import {type CallCounts, CallGraphService} from './call-graph-service.js';
 import {relayMethod} from './relay-method.js';
@@ -40,6 +38,7 @@
 	private readonly handlers = new DisposableStore();
 	private readonly queue: SlotQueue;
 	private knownBootMs = 0;
+	private isLeaving = false;
 	private readonly breaker = new BackendBreaker();
 	private readonly idleWaiters: Array<Deferred<void>> = [];
 
@@ -50,7 +49,6 @@
 		@ThresholdService private readonly threshold: ThresholdService,
 		@CallGraphService private readonly callGraph: CallGraphService,
 		@ExchangeService private readonly exchanges: ExchangeService,
-		@MembershipService private readonly membership: MembershipService,
 		@HeaderNames private readonly names: HeaderNames,
 		@MetricsService private readonly metrics: MetricsService,
 		@LogService private readonly log: LogService,
@@ -73,6 +71,11 @@
 		}
 	}
 
+	/** Begins nothing more. */
+	drain(): void {
+		this.isLeaving = true;
+	}
+
 	/** Resolves when nothing runs or waits. */
 	async whenIdle(): Promise<void> {
 		const waiter = new Deferred<void>();
@@ -180,7 +183,7 @@
 			throw new KumquatlineError(ErrorKind.BackendUnreachable, `no backend server of ${service} here`, {started: false});
 		}
 
-		if (instance.draining || this.membership.self.state === MemberState.Draining) {
+		if (instance.draining || this.isLeaving) {
 			throw new KumquatlineError(ErrorKind.Draining, 'the backend server is leaving', {started: false});
 		}
 
