Learn calls from failed executions too; serve some roots whole under overload rather than all in part

Excluded: members and leases (all nodes were found within a second), connections. Change: a call counts for its parent when it is sent, executions that were cut short raise what is known, and the queue orders by the root's hash as well, which is the same at every service.

--- a/src/services/relay/call-graph-service.ts
+++ b/src/services/relay/call-graph-service.ts
@@ -8,8 +8,8 @@
 export interface CallGraphService {
 	/** Thresholds that are worth passing on. */
 	readonly heard: NonNullable<UpstreamLoad['heard']>;
-	/** Notes the calls that one execution of a route has made. */
-	noteCalls(route: string, calls: CallCounts): void;
+	/** Notes the calls that one execution of a route has made; one that was cut short may have made fewer than usual. */
+	noteCalls(route: string, calls: CallCounts, isWhole: boolean): void;
 	/** Mean calls of a route by service, without the route's own. */
 	callsOf(route: string): ReadonlyMap<string, number>;
 	/** Notes the refusal threshold of a service, and those that its nodes had heard of. */
--- a/src/services/relay/learned-call-graph-service.ts
+++ b/src/services/relay/learned-call-graph-service.ts
@@ -16,7 +16,7 @@
 		return this.thresholds.heard;
 	}
 
-	noteCalls(route: string, calls: CallCounts): void {
+	noteCalls(route: string, calls: CallCounts, isWhole: boolean): void {
 		const means = this.meansByRoute.get(route);
 		if (!means) {
 			this.meansByRoute.set(route, new Map(Object.entries(calls)));
@@ -25,7 +25,8 @@
 
 		for (const service of new Set([...means.keys(), ...Object.keys(calls)])) {
 			const mean = means.get(service) ?? 0;
-			const next = mean + (((calls[service] ?? 0) - mean) * latestWeight);
+			const count = calls[service] ?? 0;
+			const next = mean + ((isWhole ? count - mean : Math.max(0, count - mean)) * latestWeight);
 			if (next < negligibleMean) {
 				means.delete(service);
 			} else {
--- a/src/services/relay/mesh-relay-service.ts
+++ b/src/services/relay/mesh-relay-service.ts
@@ -20,6 +20,7 @@
 import {relayMethod} from './relay-method.js';
 import {type RelayReply} from './relay-reply.js';
 import {type RelayRequest} from './relay-request.js';
+import {rootIdOf} from './root-id-of.js';
 import {type EnteredRequest, type RelayService} from './relay-service.js';
 import {RetryBudget} from './retry-budget.js';
 import {RunningRequests} from './running-requests.js';
@@ -162,7 +163,7 @@
 		}
 
 		const basis = Math.max(0, highestRank - priority) + (hasWaited ? waitedBonus : 0);
-		const share = rootShare(requestId);
+		const share = rootShare(rootIdOf(requestId));
 		for (const [name, calls] of [[service, 1] as const, ...this.callGraph.callsOf(route)]) {
 			const threshold = this.callGraph.thresholdOf(name);
 			// Of one rank, requests that need a service many times are refused before those that need it once.
@@ -200,12 +201,9 @@
 
 	/** Learns from a reply what the request called and what services refuse. */
 	private noteReply({requestId, route, service, isInner}: RelayRequest, {status, calls = {}, load}: RelayReply): void {
-		if (status !== undefined && status < firstFailureStatus) {
-			this.callGraph.noteCalls(route, calls);
-		}
-
+		this.callGraph.noteCalls(route, calls, status !== undefined && status < firstFailureStatus);
 		if (isInner) {
-			this.runningRequests.noteCall(requestId, {...calls, [service]: (calls[service] ?? 0) + 1});
+			this.runningRequests.noteCall(requestId, calls);
 		}
 
 		this.callGraph.noteThreshold(service, this.chooser.thresholdOf(service), load.heard);
@@ -230,7 +228,11 @@
 	}
 
 	/** Counts a request for its service, and the calls that it will make deeper down. */
-	private noteRequest({route, service}: RelayRequest): void {
+	private noteRequest({requestId, route, service, isInner}: RelayRequest): void {
+		if (isInner) {
+			this.runningRequests.noteCall(requestId, {[service]: 1});
+		}
+
 		this.budgetOf(service, true).noteRequests(1);
 		for (const [name, count] of this.callGraph.callsOf(route)) {
 			this.budgetOf(name, false).noteRequests(count);
--- a/src/services/relay/relay-executor.ts
+++ b/src/services/relay/relay-executor.ts
@@ -9,6 +9,7 @@
 import {MetricsService} from '../../runtime/metrics/metrics-service.js';
 import {type PeerCall, PeerService} from '../../runtime/peer/peer-service.js';
 import {LimitService} from '../admission/limit-service.js';
+import {rootShare} from '../admission/root-share.js';
 import {ThresholdService} from '../admission/threshold-service.js';
 import {type UpstreamLoad} from '../admission/upstream-load.js';
 import {type InstanceReport} from '../backend/instance-report.js';
@@ -20,6 +21,7 @@
 import {relayMethod} from './relay-method.js';
 import {type RelayReply} from './relay-reply.js';
 import {type RelayRequest} from './relay-request.js';
+import {rootIdOf} from './root-id-of.js';
 import {RunningRequests} from './running-requests.js';
 import {SlotQueue} from './slot-queue.js';
 
@@ -138,7 +140,7 @@
 
 		this.observe();
 		await this.queue.enter({
-			isInner: request.isInner, hasWaited: request.hasWaited, priority: request.priority, endsAtMs,
+			share: rootShare(rootIdOf(request.requestId)), isInner: request.isInner, hasWaited: request.hasWaited, priority: request.priority, endsAtMs,
 		}, call.signal);
 		try {
 			return await this.send(request, endsAtMs, call.signal, offer);
--- a/src/services/relay/slot-queue.ts
+++ b/src/services/relay/slot-queue.ts
@@ -3,6 +3,8 @@
 import {KumquatlineError} from '../../base/kumquatline-error.js';
 
 export type QueuedWork = {
+	/** Place of the request's root between 0 and 1, the same at every service: under overload some roots are served whole rather than all in part. */
+	readonly share: number;
 	readonly isInner: boolean;
 	/** Whether its caller was refused before and has waited. */
 	readonly hasWaited: boolean;
@@ -20,6 +22,8 @@
 
 /** How far calls of running requests go before others that came earlier: their parents hold slots meanwhile. */
 const innerAdvanceMs = 100;
+/** How far the foremost root goes before the last: about the wait at which most calls below come too late. */
+const shareAdvanceMs = 300;
 /** How far each step of priority puts work back; below an eighth of the shortest objectives. */
 const priorityStepMs = 30;
 const lowestPriority = 4;
@@ -155,9 +159,12 @@
 }
 
 /** Place of work in the queue: when it came, put off for each step of priority and brought forward for what is paid for it already. */
-function orderOf({isInner, hasWaited, priority}: QueuedWork, enqueuedAtMs: number): number {
+function orderOf({
+	share, isInner, hasWaited, priority,
+}: QueuedWork, enqueuedAtMs: number): number {
 	return enqueuedAtMs
 		+ (Math.min(priority, lowestPriority) * priorityStepMs)
+		- (share * shareAdvanceMs)
 		- (isInner ? innerAdvanceMs : 0)
 		- (hasWaited ? waitedAdvanceMs : 0);
 }
--- /dev/null
+++ b/src/services/relay/test/learned-call-graph-service.test.ts
@@ -0,0 +1,41 @@
+import test from 'ava';
+import {LearnedCallGraphService} from '../learned-call-graph-service.js';
+import {RunningRequestSet} from '../running-request-set.js';
+
+test('calls are learned, executions that were cut short included, and forgotten when they cease', t => {
+	const graph = new LearnedCallGraphService();
+	graph.noteCalls('r', {stock: 4}, false);
+	t.is(graph.callsOf('r').get('stock'), 4);
+	for (let index = 0; index < 50; index++) {
+		graph.noteCalls('r', {stock: 1}, false);
+	}
+
+	t.is(graph.callsOf('r').get('stock'), 4);
+	for (let index = 0; index < 60; index++) {
+		graph.noteCalls('r', {}, true);
+	}
+
+	t.is(graph.callsOf('r').size, 0);
+});
+
+test('thresholds that were heard on the way count until they are old', t => {
+	const graph = new LearnedCallGraphService();
+	graph.noteThreshold('desk', 0.5, [{service: 'stock', threshold: 2, ageMs: 10}]);
+	t.is(graph.thresholdOf('desk'), 0.5);
+	t.is(graph.thresholdOf('stock'), 2);
+	t.is(graph.thresholdOf('other'), 0);
+});
+
+test('calls are counted for the request that makes them, deep ones by their replies', t => {
+	const running = new RunningRequestSet();
+	running.begin('a');
+	t.true(running.isCalledFor('a.1'));
+	t.false(running.isCalledFor('a.1.2'));
+	t.false(running.isCalledFor('b'));
+	running.noteCall('a.1', {desk: 1});
+	running.noteCall('a.1', {stock: 4});
+	running.noteCall('a.2', {desk: 1});
+	running.noteCall('b.1', {desk: 1});
+	t.deepEqual(running.end('a'), {desk: 2, stock: 4});
+	t.false(running.isCalledFor('a.1'));
+});
