--- /dev/null
+++ b/src/services/relay/early-refusal.ts
@@ -0,0 +1,48 @@
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {type RandomGenerator} from 'pure-rand/types/RandomGenerator';
+import {ErrorKind} from '../../base/error-kind.js';
+import {KumquatlineError} from '../../base/kumquatline-error.js';
+import {type LogService} from '../../runtime/log/log-service.js';
+import {rootShare} from '../admission/root-share.js';
+import {type CallGraphService} from './call-graph-service.js';
+import {type RelayRequest} from './relay-request.js';
+import {rootIdOf} from './root-id-of.js';
+
+/** Rank of requests with priority 0; each step down is one less. */
+const highestRank = 3;
+/** Ranks by which a request goes before its like when its caller was refused before: being refused again is worse than once. */
+const waitedBonus = 0.8;
+/** Time after which a refused caller may come back: long enough that it counts as having waited, early enough for most objectives, spread over callers. */
+const leastRetryMs = 400;
+const retrySpreadMs = 600;
+
+/** Refuses requests at their entry that a service on their way would refuse, before any work is done for them. */
+export class EarlyRefusal {
+	constructor(
+		private readonly callGraph: CallGraphService,
+		private readonly log: LogService,
+		private readonly random: RandomGenerator,
+	) {}
+
+	/** Throws `overloaded` for a request that has to come back later; calls of running requests always go on. */
+	check({requestId, route, service, priority, isInner, hasWaited}: RelayRequest): void {
+		if (isInner) {
+			return;
+		}
+
+		const basis = Math.max(0, highestRank - priority) + (hasWaited ? waitedBonus : 0);
+		const share = rootShare(rootIdOf(requestId));
+		for (const [name, calls] of [[service, 1] as const, ...this.callGraph.callsOf(route)]) {
+			const threshold = this.callGraph.thresholdOf(name);
+			// Of one rank, requests that need a service many times are refused before those that need it once.
+			const rank = basis + (calls > 1 ? share / 2 : 0.5 + (share / 2));
+			if (rank < threshold) {
+				this.log.info('refused early', {
+					id: requestId, route, service: name, threshold, rank, hasWaited,
+				});
+				const retryAfterMs = leastRetryMs + (retrySpreadMs * uniformFloat64(this.random));
+				throw new KumquatlineError(ErrorKind.Overloaded, `service ${name} refuses work of this rank at present`, {started: false, retryAfterMs});
+			}
+		}
+	}
+}
--- a/src/services/relay/mesh-relay-service.ts
+++ b/src/services/relay/mesh-relay-service.ts
@@ -11,18 +11,17 @@
 import {RelaySettingsService} from '../../runtime/settings/relay-settings-service.js';
 import {SettingsService} from '../../runtime/settings/settings-service.js';
 import {type Member} from '../membership/member.js';
-import {MemberState} from '../membership/member-state.js';
 import {MembershipService} from '../membership/membership-service.js';
 import {type Route} from '../routes/route.js';
-import {rootShare} from '../admission/root-share.js';
 import {CallGraphService} from './call-graph-service.js';
+import {EarlyRefusal} from './early-refusal.js';
+import {goneStates} from './gone-states.js';
 import {type RelayAnswer} from './relay-answer.js';
 import {relayMethod} from './relay-method.js';
 import {type RelayReply} from './relay-reply.js';
 import {type RelayRequest} from './relay-request.js';
-import {rootIdOf} from './root-id-of.js';
 import {type EnteredRequest, type RelayService} from './relay-service.js';
-import {RetryBudget} from './retry-budget.js';
+import {RetryBudgets} from './retry-budgets.js';
 import {RunningRequests} from './running-requests.js';
 import {UpstreamChooser} from './upstream-chooser.js';
 
@@ -36,19 +35,8 @@
 ]);
 /** Failures after which an idempotent request may be sent again. */
 const repeatedKinds: ReadonlySet<ErrorKind> = new Set([ErrorKind.PeerLost, ErrorKind.BackendFailed]);
-/** Rank of requests with priority 0; each step down is one less. */
-const highestRank = 3;
-/** Time after which a refused caller finds room, spread so that not all come back at once. */
-const leastRetryMs = 500;
-const retrySpreadMs = 1000;
-/** Parts of what a service may get again: sent to it directly, and called deeper down by repeated requests, which up to three nodes of a chain count. */
-const directShare = 0.45;
-const deeperShare = 0.15;
-/** Ranks by which a request goes before its like when its caller was refused before: being refused again is worse than once. */
-const waitedBonus = 0.8;
 const okStatus = 200;
 const firstFailureStatus = 500;
-const goneStates: ReadonlySet<MemberState> = new Set([MemberState.Dead, MemberState.Left]);
 
 /** How one upstream fared with a request. */
 type Attempt = {
@@ -60,15 +48,16 @@
 
 /** Sends each request to an upstream of its route; another one only while that is allowed and safe. */
 export class MeshRelayService implements RelayService, Disposable {
-	private readonly budgets = new Map<string, RetryBudget>();
+	private readonly budgets: RetryBudgets;
+	private readonly earlyRefusal: EarlyRefusal;
 	private readonly random;
 	private readonly chooser: UpstreamChooser;
 	private readonly subscription: Disposable;
 
 	constructor(
 		@PeerService private readonly peers: PeerService,
-		@MembershipService private readonly membership: MembershipService,
-		@RelaySettingsService private readonly relaySettings: RelaySettingsService,
+		@MembershipService membership: MembershipService,
+		@RelaySettingsService relaySettings: RelaySettingsService,
 		@SettingsService {settings}: SettingsService,
 		@CallGraphService private readonly callGraph: CallGraphService,
 		@RunningRequests private readonly runningRequests: RunningRequests,
@@ -76,6 +65,8 @@
 		@LogService private readonly log: LogService,
 	) {
 		this.random = createRandom(settings.seed, `${settings.nodeId}/relay`);
+		this.budgets = new RetryBudgets(relaySettings, membership, callGraph, metrics);
+		this.earlyRefusal = new EarlyRefusal(callGraph, log, this.random);
 		this.chooser = new UpstreamChooser(membership, settings.availabilityZone, this.random);
 		this.subscription = membership.onDidChange(({nodeId, state}) => {
 			if (goneStates.has(state)) {
@@ -94,10 +85,14 @@
 		const request: RelayRequest = {
 			...rest, service, route: matched.name, idempotent: matched.idempotent, priority: matched.priority,
 		};
-		this.noteRequest(request);
+		this.budgets.noteRequest(request);
+		if (request.isInner) {
+			this.runningRequests.noteCall(request.requestId, {[service]: 1});
+		}
+
 		const attempts: Attempt[] = [];
 		try {
-			this.refuseEarly(request);
+			this.earlyRefusal.check(request);
 			return await this.tryUpstreams(request, matched, endsAtMs, attempts, signal);
 		} finally {
 			this.logEnd(request, attempts);
@@ -135,47 +130,7 @@
 		}
 
 		const offers = attempts.filter(attempt => attempt.offered).length;
-		return !offered || (offers < matched.maxUpstreams && this.takeRepetition(request));
-	}
-
-	/** Takes one repetition of a request, with all the calls that it repeats deeper down, from the budgets of the services; false when one has too little left. */
-	private takeRepetition({route, service}: RelayRequest): boolean {
-		const direct = this.budgetOf(service, true);
-		const calls = [...this.callGraph.callsOf(route)];
-		if (!direct.has(1) || !calls.every(([name, count]) => this.budgetOf(name, false).has(count))) {
-			this.metrics.count('retries', {route, outcome: 'denied'});
-			return false;
-		}
-
-		direct.take(1);
-		for (const [name, count] of calls) {
-			this.budgetOf(name, false).take(count);
-		}
-
-		this.metrics.count('retries', {route, outcome: 'granted'});
-		return true;
-	}
-
-	/** Refuses a request that a service on its way would refuse now; calls of running requests always go on. */
-	private refuseEarly({requestId, route, service, priority, isInner, hasWaited}: RelayRequest): void {
-		if (isInner) {
-			return;
-		}
-
-		const basis = Math.max(0, highestRank - priority) + (hasWaited ? waitedBonus : 0);
-		const share = rootShare(rootIdOf(requestId));
-		for (const [name, calls] of [[service, 1] as const, ...this.callGraph.callsOf(route)]) {
-			const threshold = this.callGraph.thresholdOf(name);
-			// Of one rank, requests that need a service many times are refused before those that need it once.
-			const rank = basis + (calls > 1 ? share / 2 : 0.5 + (share / 2));
-			if (rank < threshold) {
-				const retryAfterMs = leastRetryMs + (retrySpreadMs * uniformFloat64(this.random));
-				this.log.info('refused early', {
-					id: requestId, route, service: name, threshold, rank,
-				});
-				throw new KumquatlineError(ErrorKind.Overloaded, `service ${name} refuses work of this rank at present`, {started: false, retryAfterMs});
-			}
-		}
+		return !offered || (offers < matched.maxUpstreams && this.budgets.take(request));
 	}
 
 	private async attempt(member: Member, request: RelayRequest, endsAtMs: number, signal: AbortSignal): Promise<Attempt> {
@@ -227,36 +182,6 @@
 		return targets[0].service;
 	}
 
-	/** Counts a request for its service, and the calls that it will make deeper down. */
-	private noteRequest({requestId, route, service, isInner}: RelayRequest): void {
-		if (isInner) {
-			this.runningRequests.noteCall(requestId, {[service]: 1});
-		}
-
-		this.budgetOf(service, true).noteRequests(1);
-		for (const [name, count] of this.callGraph.callsOf(route)) {
-			this.budgetOf(name, false).noteRequests(count);
-		}
-	}
-
-	/** The budget of a service for requests that go to it from here, or for those that are called deeper down. */
-	private budgetOf(service: string, isDirect: boolean): RetryBudget {
-		const key = isDirect ? service : `calls of ${service}`;
-		const known = this.budgets.get(key);
-		if (known) {
-			return known;
-		}
-
-		const budget = new RetryBudget(() => {
-			const {retryRatio, retryWindowMs, retrySlack} = this.relaySettings.relay;
-			return {
-				ratio: retryRatio, windowMs: retryWindowMs, slack: retrySlack, share: isDirect ? directShare : deeperShare,
-			};
-		}, () => this.membership.members.filter(({state}) => !goneStates.has(state)).length);
-		this.budgets.set(key, budget);
-		return budget;
-	}
-
 	private logEnd({requestId, route, service, isInner}: RelayRequest, attempts: readonly Attempt[]): void {
 		const last = attempts.at(-1);
 		this.metrics.count('relayed', {route, outcome: last?.answer ? String(last.answer.status) : last?.failure?.kind ?? ErrorKind.NoUpstream});
--- /dev/null
+++ b/src/services/relay/retry-budgets.ts
@@ -0,0 +1,63 @@
+import {type MetricsService} from '../../runtime/metrics/metrics-service.js';
+import {type RelaySettingsService} from '../../runtime/settings/relay-settings-service.js';
+import {type MembershipService} from '../membership/membership-service.js';
+import {type CallGraphService} from './call-graph-service.js';
+import {goneStates} from './gone-states.js';
+import {type RelayRequest} from './relay-request.js';
+import {RetryBudget} from './retry-budget.js';
+
+/** Parts of what a service may get again: sent to it directly, and called deeper down by repeated requests, which up to three nodes of a chain count. */
+const directShare = 0.45;
+const deeperShare = 0.15;
+
+/** What this node may send again to each service, the calls included that a repeated request makes again deeper down. */
+export class RetryBudgets {
+	private readonly direct = new Map<string, RetryBudget>();
+	private readonly deeper = new Map<string, RetryBudget>();
+
+	constructor(
+		private readonly settings: RelaySettingsService,
+		private readonly membership: MembershipService,
+		private readonly callGraph: CallGraphService,
+		private readonly metrics: MetricsService,
+	) {}
+
+	/** Counts a request for its service, and the calls that it will make deeper down. */
+	noteRequest({route, service}: RelayRequest): void {
+		this.budgetOf(this.direct, service, directShare).noteRequests(1);
+		for (const [name, count] of this.callGraph.callsOf(route)) {
+			this.budgetOf(this.deeper, name, deeperShare).noteRequests(count);
+		}
+	}
+
+	/** Takes one repetition of a request, with all the calls that it repeats deeper down; false when a service has too little left. */
+	take({route, service}: RelayRequest): boolean {
+		const direct = this.budgetOf(this.direct, service, directShare);
+		const calls = [...this.callGraph.callsOf(route)].map(([name, count]) => ({budget: this.budgetOf(this.deeper, name, deeperShare), count}));
+		const isGranted = direct.has(1) && calls.every(({budget, count}) => budget.has(count));
+		this.metrics.count('retries', {route, outcome: isGranted ? 'granted' : 'denied'});
+		if (isGranted) {
+			direct.take(1);
+			for (const {budget, count} of calls) {
+				budget.take(count);
+			}
+		}
+
+		return isGranted;
+	}
+
+	private budgetOf(budgets: Map<string, RetryBudget>, service: string, share: number): RetryBudget {
+		let budget = budgets.get(service);
+		if (!budget) {
+			budget = new RetryBudget(() => {
+				const {retryRatio, retryWindowMs, retrySlack} = this.settings.relay;
+				return {
+					ratio: retryRatio, windowMs: retryWindowMs, slack: retrySlack, share,
+				};
+			}, () => this.membership.members.filter(({state}) => !goneStates.has(state)).length);
+			budgets.set(service, budget);
+		}
+
+		return budget;
+	}
+}
