Try upstreams that joined or were slow

What is expected of an upstream without news nears half the usual time of its service. Test: an upstream that joins gets work at once, and one that was slow is tried again.

--- a/src/services/relay/test/upstream-chooser.test.ts
+++ b/src/services/relay/test/upstream-chooser.test.ts
@@ -62,3 +62,23 @@
 	const counts = countChoices(chooser, 200, nodeId => ({elapsedMs: nodeId === 'quick' ? 20 : 100, succeeded: true}));
 	t.true(counts.quick > (counts.slow ?? 0));
 });
+
+test('an upstream that joins gets work at once, and one that was slow is tried again', t => {
+	const clock = install();
+	t.teardown(() => {
+		clock.uninstall();
+	});
+	const members = [member('old', 'zone-a')];
+	const chooser = openChooser(members);
+	countChoices(chooser, 20, () => ({elapsedMs: 30, succeeded: true}));
+	members.push(member('new', 'zone-a'));
+	t.true((countChoices(chooser, 10, () => ({elapsedMs: 60, succeeded: true})).new ?? 0) > 0);
+	let isTriedAgain = false;
+	for (let second = 0; second < 10; second++) {
+		clock.tick(1000);
+		const counts = countChoices(chooser, 5, nodeId => ({elapsedMs: nodeId === 'new' && second < 5 ? 60 : 30, succeeded: true}));
+		isTriedAgain ||= (counts.new ?? 0) > 0;
+	}
+
+	t.true(isTriedAgain);
+});
--- a/src/services/relay/upstream-chooser.ts
+++ b/src/services/relay/upstream-chooser.ts
@@ -13,6 +13,8 @@
 const failingShare = 0.3;
 /** Share of failures from which on an upstream is passed over while another is sound. */
 const unsoundShare = 0.5;
+/** Share of the usual answer time that is expected of an upstream without news: low enough that it is tried, high enough that it isn't flooded. */
+const newcomerShare = 0.5;
 /** Candidates that are compared: services have few upstreams, of very different speeds. */
 const draws = 3;
 /** How strongly work beyond the limit counts: it waits for a whole run or more. */
@@ -97,10 +99,11 @@
 	private pick(candidates: readonly Member[]): Member | undefined {
 		const sound = candidates.filter(member => this.recordOf(member).health.failureShare < unsoundShare);
 		let left = sound.length > 0 ? sound : candidates;
+		const usualMs = this.usualMs(left) * newcomerShare;
 		let best: Member | undefined;
 		for (let draw = 0; draw < draws; draw++) {
 			const drawn = this.drawByLimit(left);
-			if (drawn && (!best || this.expectedMs(drawn) < this.expectedMs(best))) {
+			if (drawn && (!best || this.expectedMs(drawn, usualMs) < this.expectedMs(best, usualMs))) {
 				best = drawn;
 			}
 
@@ -110,6 +113,19 @@
 		return best;
 	}
 
+	/** Mean answer time of the candidates that have answered. */
+	private usualMs(candidates: readonly Member[]): number {
+		let total = 0;
+		let known = 0;
+		for (const member of candidates) {
+			const meanMs = this.recordOf(member).health.lastMeanMs;
+			total += meanMs ?? 0;
+			known += meanMs === undefined ? 0 : 1;
+		}
+
+		return known === 0 ? 1 : total / known;
+	}
+
 	private drawByLimit(candidates: readonly Member[]): Member | undefined {
 		let total = 0;
 		for (const member of candidates) {
@@ -132,11 +148,11 @@
 	}
 
 	/** Time until an answer, with what failing costs. */
-	private expectedMs(member: Member): number {
+	private expectedMs(member: Member, usualMs: number): number {
 		const {health} = this.recordOf(member);
 		const surplus = Math.max(0, this.utilisation(member) - fullShare);
 		const successShare = 1 - health.failureShare;
-		return health.meanMs * (1 + this.utilisation(member) + (overfullFactor * surplus)) / (successShare * successShare);
+		return health.meanMs(usualMs) * (1 + this.utilisation(member) + (overfullFactor * surplus)) / (successShare * successShare);
 	}
 
 	private utilisation(member: Member): number {
--- a/src/services/relay/upstream-health.ts
+++ b/src/services/relay/upstream-health.ts
@@ -1,26 +1,29 @@
 /** Weight of the latest outcome. */
 const latestWeight = 0.1;
-/** Time in which a share of failures falls to half without news, so that an upstream that recovers is tried again. */
+/** Time in which knowledge falls to half without news, so that an upstream that recovers or warms up is tried again. */
 const halfLifeMs = 1500;
 /** A share of failures never counts as certain. */
 const maxFailureShare = 0.95;
-/** Assumed before the first answer. */
-const firstMeanMs = 50;
 
 /** How an upstream has fared of late, as one node has seen it. */
 export class UpstreamHealth {
-	private mean = firstMeanMs;
+	private mean: number | undefined;
 	private share = 0;
 	private notedAtMs = 0;
 
-	/** Mean time of answers. */
-	get meanMs(): number {
-		return this.mean;
+	/** Mean time of answers, which without news nears what is usual for the service; that very time before the first answer. */
+	meanMs(usualMs: number): number {
+		return this.mean === undefined ? usualMs : usualMs + ((this.mean - usualMs) * this.fading);
 	}
 
 	/** Share of the requests that failed, fading with time. */
 	get failureShare(): number {
-		return Math.min(maxFailureShare, this.share * (0.5 ** ((performance.now() - this.notedAtMs) / halfLifeMs)));
+		return Math.min(maxFailureShare, this.share * this.fading);
+	}
+
+	/** Mean time of answers as it was last; undefined before the first. */
+	get lastMeanMs(): number | undefined {
+		return this.mean;
 	}
 
 	note(succeeded: boolean, elapsedMs: number): void {
@@ -28,7 +31,12 @@
 		this.share = share + (((succeeded ? 0 : 1) - share) * latestWeight);
 		this.notedAtMs = performance.now();
 		if (succeeded) {
-			this.mean += (elapsedMs - this.mean) * latestWeight;
+			this.mean = this.mean === undefined ? elapsedMs : this.mean + ((elapsedMs - this.mean) * latestWeight);
 		}
 	}
+
+	/** What is left of knowledge since the latest news. */
+	private get fading(): number {
+		return 0.5 ** ((performance.now() - this.notedAtMs) / halfLifeMs);
+	}
 }
