--- a/src/runtime/log/pino-log-service.ts
+++ b/src/runtime/log/pino-log-service.ts
@@ -86,6 +86,10 @@
 	}
 
 	private write(level: Level, message: string, fields: LogFields): void {
+		if (!this.logger.isLevelEnabled(level)) {
+			return;
+		}
+
 		if (this.lines >= maxLinesPerSecond) {
 			this.leftOut++;
 			return;
--- a/src/runtime/log/test/pino-log-service.test.ts
+++ b/src/runtime/log/test/pino-log-service.test.ts
@@ -42,6 +42,7 @@
 	});
 	const log = openLog();
 	for (let index = 0; index < 1200; index++) {
+		log.debug('below the level', {index});
 		log.info('request', {index});
 	}
 
