--- a/src/services/admission/delay-threshold-service.ts
+++ b/src/services/admission/delay-threshold-service.ts
@@ -10,10 +10,6 @@
 /** Rise in an interval for a delay that is above the target by the target itself. */
 const gain = 0.1;
 const largestRise = 0.4;
-/** Fall in an interval without standing delay. */
-const probe = 0.05;
-/** Part of the threshold that falls away in an interval in which the backend server had room all the time. */
-const roomDecay = 0.85;
 /** Room that a full backend server has by chance. */
 const chanceRoomShare = 0.1;
 const negligible = 0.02;
@@ -50,6 +46,16 @@
 		}
 	}
 
+	/** Fall in an interval without standing delay. */
+	protected get probe(): number {
+		return 0.05;
+	}
+
+	/** Part of the threshold that falls away in an interval in which the backend server had room all the time. */
+	protected get roomDecay(): number {
+		return 0.85;
+	}
+
 	/** Acts on the time since the last interval ended, which is several intervals when nothing was observed. */
 	private endIntervals(passedMs: number, count: number): void {
 		const roomShare = Math.max(0, 1 - (this.fullMs / passedMs) - chanceRoomShare);
@@ -68,7 +74,7 @@
 
 	private lower(roomShare: number, intervals: number): void {
 		for (let index = 0; index < intervals; index++) {
-			this.value = (this.value * (1 - (roomDecay * roomShare))) - probe;
+			this.value = (this.value * (1 - (this.roomDecay * roomShare))) - this.probe;
 		}
 
 		this.value = this.value < negligible ? 0 : this.value;
