--- a/src/services/admission/delay-threshold-service.ts
+++ b/src/services/admission/delay-threshold-service.ts
@@ -9,7 +9,6 @@
 const targetShareOfOwnTime = 1;
 /** Rise in an interval for a delay that is above the target by the target itself. */
 const gain = 0.1;
-const largestRise = 0.4;
 /** Room that a full backend server has by chance. */
 const chanceRoomShare = 0.1;
 const negligible = 0.02;
@@ -25,6 +24,7 @@
 	private intervalFromMs = performance.now();
 	private observedAtMs = performance.now();
 	private leastDelayMs = Number.POSITIVE_INFINITY;
+	private lastDelayMs = 0;
 	private fullMs = 0;
 	private last: QueueState = {oldestWaitMs: 0, isFull: false, ownTimeMs: 0};
 
@@ -46,11 +46,21 @@
 		}
 	}
 
+	/** Greatest rise in an interval. */
+	protected get largestRise(): number {
+		return 0.4;
+	}
+
 	/** Fall in an interval without standing delay. */
 	protected get probe(): number {
 		return 0.05;
 	}
 
+	/** Whether the threshold stays while the standing delay falls. */
+	protected get waitsForDraining(): boolean {
+		return false;
+	}
+
 	/** Part of the threshold that falls away in an interval in which the backend server had room all the time. */
 	protected get roomDecay(): number {
 		return 0.85;
@@ -61,9 +71,13 @@
 		const roomShare = Math.max(0, 1 - (this.fullMs / passedMs) - chanceRoomShare);
 		const targetMs = Math.max(lowestTargetMs, this.last.ownTimeMs * targetShareOfOwnTime);
 		const excess = (this.leastDelayMs - targetMs) / targetMs;
-		if (excess > 0) {
-			this.value = Math.min(highestThreshold, this.value + Math.min(largestRise, gain * excess));
-		} else {
+		const isRising = this.leastDelayMs >= this.lastDelayMs;
+		this.lastDelayMs = this.leastDelayMs;
+		// A queue that grows shorter shows that enough is refused already.
+		const mayRise = isRising || !this.waitsForDraining;
+		if (excess > 0 && mayRise) {
+			this.value = Math.min(highestThreshold, this.value + Math.min(this.largestRise, gain * excess));
+		} else if (excess <= 0) {
 			this.lower(roomShare, Math.min(count, caughtUpIntervals));
 		}
 
--- a/src/services/relay/early-refusal.ts
+++ b/src/services/relay/early-refusal.ts
@@ -8,8 +8,8 @@
 import {type RelayRequest} from './relay-request.js';
 import {rootIdOf} from './root-id-of.js';
 
-/** Rank of requests with priority 0; each step down is one less. */
-const highestRank = 3;
+/** Rank of requests with priority 0; each step down is one less, and the least is 0. */
+const highestRank = 2;
 /** Ranks by which a request goes before its like when its caller was refused before: being refused again is worse than once. */
 const waitedBonus = 0.8;
 /** Time after which a refused caller may come back: long enough that it counts as having waited, early enough for most objectives, spread over callers. */
