--- a/src/services/relay/mesh-relay-service.ts
+++ b/src/services/relay/mesh-relay-service.ts
@@ -27,6 +27,8 @@
 
 /** Upstreams that are passed over for one request because they certainly did not begin it. */
 const maxDetours = 6;
+/** Full queues after which the others are taken to be full as well: load is spread over them alike. */
+const maxFullQueues = 1;
 /** Time after which a caller may find an upstream where none was there. */
 const noUpstreamRetryMs = 500;
 /** Failures that say nothing about other upstreams: another may be tried. */
@@ -118,7 +120,8 @@
 
 	/** Whether the request may be sent to one more upstream. */
 	private mayGoOn({failure, answer, offered}: Attempt, attempts: readonly Attempt[], request: RelayRequest, matched: Route): boolean {
-		if (attempts.length > maxDetours) {
+		const fullQueues = attempts.filter(attempt => attempt.failure?.kind === ErrorKind.Overloaded).length;
+		if (attempts.length > maxDetours || fullQueues > maxFullQueues) {
 			return false;
 		}
 
--- a/src/services/relay/retry-budgets.ts
+++ b/src/services/relay/retry-budgets.ts
@@ -7,8 +7,8 @@
 import {RetryBudget} from './retry-budget.js';
 
 /** Parts of what a service may get again: sent to it directly, and called deeper down by repeated requests, which up to three nodes of a chain count. */
-const directShare = 0.45;
-const deeperShare = 0.15;
+const directShare = 0.65;
+const deeperShare = 0.08;
 
 /** What this node may send again to each service, the calls included that a repeated request makes again deeper down. */
 export class RetryBudgets {
