--- a/src/services/outbound/write-failure.ts
+++ b/src/services/outbound/write-failure.ts
@@ -7,6 +7,8 @@
 const badGatewayStatus = 502;
 /** Statuses below blame the caller, which no failure on the way does. */
 const firstServerFailureStatus = 500;
+/** When to come back where nothing more is known: nodes find out who is gone within a second or so. */
+const usualRetryMs = 500;
 const msPerSecond = 1000;
 /** Statuses by which a caller understands that its request has not run and never will. */
 const promisingStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -34,8 +36,8 @@
 	const status = statusOf(failure);
 	const body = JSON.stringify({kind: failure.kind, error: errorAnswers[failure.kind].title});
 	const headers: Record<string, string | number> = {'content-type': 'application/json', 'content-length': new TextEncoder().encode(body).length};
-	if (status === unavailableStatus && failure.retryAfterMs !== undefined) {
-		headers['retry-after'] = (failure.retryAfterMs / msPerSecond).toFixed(3);
+	if (status === unavailableStatus) {
+		headers['retry-after'] = ((failure.retryAfterMs ?? usualRetryMs) / msPerSecond).toFixed(3);
 	}
 
 	response.writeHead(status, headers);
--- a/standins/platform/test/relay-node.test.ts
+++ b/standins/platform/test/relay-node.test.ts
@@ -67,7 +67,9 @@
 	const {desk, catalogue} = await startPair(t);
 	const {control} = catalogue.node.ports;
 	t.is(await catalogue.backend.report(control, {seq: 2, state: 'draining'}), 200);
-	t.like(await send(desk.node.ports.outbound, {host: 'a.example', path: '/read/x', id: 'r1'}), {status: 503});
+	const refused = await send(desk.node.ports.outbound, {host: 'a.example', path: '/read/x', id: 'r1'});
+	t.is(refused.status, 503);
+	t.true(Number(refused.headers['retry-after']) > 0);
 	t.is(await catalogue.backend.report(control, {seq: 1}), 200);
 	t.like(await send(desk.node.ports.outbound, {host: 'a.example', path: '/read/x', id: 'r2'}), {status: 503});
 	t.is(catalogue.backend.runs.length, 0);
