--- a/src/services/relay/test/upstream-chooser.test.ts
+++ b/src/services/relay/test/upstream-chooser.test.ts
@@ -82,3 +82,15 @@
 
 	t.true(isTriedAgain);
 });
+
+test('when all are full alike, work stays in the own zone', t => {
+	const chooser = openChooser([member('near', 'zone-a'), member('far', 'zone-b'), member('farther', 'zone-c')]);
+	const counts: Record<string, number> = {};
+	for (let index = 0; index < 60; index++) {
+		const chosen = chooser.choose('s', new Set())!;
+		counts[chosen.nodeId] = (counts[chosen.nodeId] ?? 0) + 1;
+	}
+
+	t.true(counts.near > counts.far && counts.near > counts.farther);
+	t.true(counts.far > 10 && counts.farther > 10);
+});
--- a/src/services/relay/upstream-chooser.ts
+++ b/src/services/relay/upstream-chooser.ts
@@ -17,6 +17,8 @@
 const newcomerShare = 0.5;
 /** Candidates that are compared: services have few upstreams, of very different speeds. */
 const draws = 3;
+/** How much longer an upstream of the own zone may be expected to take than one of another: bytes between zones are dear. */
+const zoneAdvantage = 1.4;
 /** How strongly work beyond the limit counts: it waits for a whole run or more. */
 const overfullFactor = 4;
 
@@ -51,7 +53,7 @@
 	choose(service: string, exclude: ReadonlySet<string>): Member | undefined {
 		const candidates = this.membership.upstreams(service).filter(member => !exclude.has(member.nodeId));
 		const near = candidates.filter(member => member.availabilityZone === this.availabilityZone);
-		const member = this.pick(near.some(candidate => this.hasRoom(candidate)) ? near : candidates);
+		const member = near.some(candidate => this.hasRoom(candidate)) ? this.pick(near) : this.pickAnywhere(candidates, near);
 		if (member) {
 			const record = this.recordOf(member);
 			record.inFlight++;
@@ -95,6 +97,18 @@
 		}
 	}
 
+	/** The best of all zones if it is clearly better than the best of the own: when all are full the way to another zone is in vain. */
+	private pickAnywhere(candidates: readonly Member[], near: readonly Member[]): Member | undefined {
+		const best = this.pick(candidates);
+		const nearest = this.pick(near);
+		if (!best || !nearest) {
+			return best;
+		}
+
+		const usualMs = this.usualMs(candidates);
+		return this.expectedMs(nearest, usualMs) <= this.expectedMs(best, usualMs) * zoneAdvantage ? nearest : best;
+	}
+
 	/** The best of some different candidates drawn by limit; those that mostly fail only where all do. */
 	private pick(candidates: readonly Member[]): Member | undefined {
 		const sound = candidates.filter(member => this.recordOf(member).health.failureShare < unsoundShare);
