Let calls have the priority of the request that makes them

The node beside a backend server knows which request a call is made for, so a call takes on that request's priority, at every depth.

--- a/src/services/outbound/http-outbound-service.ts
+++ b/src/services/outbound/http-outbound-service.ts
@@ -155,7 +155,7 @@
 		const patienceMs = Number(findHeader(message.rawHeaders, this.names.deadlineMs) ?? Number.NaN);
 		const timeoutMs = patienceMs >= 0 ? Math.min(patienceMs, matched.timeoutMs) : matched.timeoutMs;
 		const endsAtMs = enteredAtMs + timeoutMs;
-		const isInner = this.runningRequests.isCalledFor(requestId);
+		const callerPriority = this.runningRequests.callerPriority(requestId);
 		const attachment = await this.readBody(message, endsAtMs);
 		return {
 			requestId,
@@ -164,8 +164,8 @@
 			method: message.method!,
 			target: message.url!,
 			headers: [...keepEndToEnd(message.rawHeaders, this.replacedHeaders), this.names.caller, this.settings.relay.service],
-			isInner,
-			hasWaited: !isInner && this.patience.hasWaited(matched.name, patienceMs),
+			callerPriority,
+			hasWaited: callerPriority === undefined && this.patience.hasWaited(matched.name, patienceMs),
 			attachment,
 		};
 	}
--- a/src/services/relay/mesh-relay-service.ts
+++ b/src/services/relay/mesh-relay-service.ts
@@ -82,10 +82,15 @@
 	}
 
 	async relay(entered: EnteredRequest, signal: AbortSignal): Promise<RelayAnswer> {
-		const {matched, endsAtMs, ...rest} = entered;
+		const {matched, endsAtMs, callerPriority, ...rest} = entered;
 		const service = this.drawService(matched);
 		const request: RelayRequest = {
-			...rest, service, route: matched.name, idempotent: matched.idempotent, priority: matched.priority,
+			...rest,
+			service,
+			route: matched.name,
+			idempotent: matched.idempotent,
+			priority: Math.min(matched.priority, callerPriority ?? matched.priority),
+			isInner: callerPriority !== undefined,
 		};
 		this.budgets.noteRequest(request);
 		if (request.isInner) {
--- a/src/services/relay/relay-executor.ts
+++ b/src/services/relay/relay-executor.ts
@@ -153,7 +153,7 @@
 	private async send(request: RelayRequest, endsAtMs: number, signal: AbortSignal, offer: Offer): Promise<ExchangeAnswer> {
 		const beganAtMs = performance.now();
 		const end = this.breaker.begin();
-		this.runningRequests.begin(request.requestId);
+		this.runningRequests.begin(request.requestId, request.priority);
 		let isAnswered = false;
 		try {
 			// Whoever was let in from the queue may find another backend server than the one it waited for.
--- a/src/services/relay/relay-request.ts
+++ b/src/services/relay/relay-request.ts
@@ -9,7 +9,7 @@
 	/** Names and values in turn, those of single connections left out. */
 	readonly headers: readonly string[];
 	readonly idempotent: boolean;
-	/** Rank of the route, 0 the highest. */
+	/** Rank of the route, or of the request that makes this call if that is higher; 0 the highest. */
 	readonly priority: number;
 	/** Whether the caller has been waiting since an earlier attempt that was refused. */
 	readonly hasWaited: boolean;
--- a/src/services/relay/relay-service.ts
+++ b/src/services/relay/relay-service.ts
@@ -4,9 +4,11 @@
 import {type RelayRequest} from './relay-request.js';
 
 /** A request as the node that took it from its caller hands it on. */
-export type EnteredRequest = Omit<RelayRequest, 'service' | 'route' | 'idempotent' | 'priority'> & {
+export type EnteredRequest = Omit<RelayRequest, 'service' | 'route' | 'idempotent' | 'priority' | 'isInner'> & {
 	/** The route as it was when the request came. */
 	readonly matched: Route;
+	/** Priority of the running request that makes this call; undefined for a caller's own. */
+	readonly callerPriority?: number;
 	/** Steady clock at which its time is over. */
 	readonly endsAtMs: number;
 };
--- a/src/services/relay/running-request-set.ts
+++ b/src/services/relay/running-request-set.ts
@@ -1,26 +1,31 @@
 import {type CallCounts} from './call-graph-service.js';
 import {type RunningRequests} from './running-requests.js';
 
+type RunningRequest = {
+	readonly priority: number;
+	readonly calls: Map<string, number>;
+};
+
 /** Request ids at work with the calls made for them; one that is sent twice counts for its latest run. */
 export class RunningRequestSet implements RunningRequests {
-	private readonly callsById = new Map<string, Map<string, number>>();
+	private readonly byId = new Map<string, RunningRequest>();
 
-	begin(requestId: string): void {
-		this.callsById.set(requestId, new Map());
+	begin(requestId: string, priority: number): void {
+		this.byId.set(requestId, {priority, calls: new Map()});
 	}
 
 	end(requestId: string): CallCounts {
-		const calls = this.callsById.get(requestId);
-		this.callsById.delete(requestId);
-		return Object.fromEntries(calls ?? []);
+		const running = this.byId.get(requestId);
+		this.byId.delete(requestId);
+		return Object.fromEntries(running?.calls ?? []);
 	}
 
-	isCalledFor(requestId: string): boolean {
-		return this.callsById.has(parentOf(requestId));
+	callerPriority(requestId: string): number | undefined {
+		return this.byId.get(parentOf(requestId))?.priority;
 	}
 
 	noteCall(requestId: string, calls: CallCounts): void {
-		const counted = this.callsById.get(parentOf(requestId));
+		const counted = this.byId.get(parentOf(requestId))?.calls;
 		if (!counted) {
 			return;
 		}
--- a/src/services/relay/running-requests.ts
+++ b/src/services/relay/running-requests.ts
@@ -3,12 +3,12 @@
 
 /** The requests at work at the VM's backend server, whose calls come in at the same node. */
 export interface RunningRequests {
-	/** Begins to count the calls of a request. */
-	begin(requestId: string): void;
+	/** Begins to count the calls of a request of a priority. */
+	begin(requestId: string, priority: number): void;
 	/** Ends a request and returns the calls that were made for it. */
 	end(requestId: string): CallCounts;
-	/** Whether a request id is that of a call which a running request makes: the id of the latter, a dot and one more part. */
-	isCalledFor(requestId: string): boolean;
+	/** Priority of the running request that makes a call, whose id is that of the former, a dot and one more part; undefined for what is no such call. */
+	callerPriority(requestId: string): number | undefined;
 	/** Counts a call for the request that makes it, if it still runs. */
 	noteCall(requestId: string, calls: CallCounts): void;
 }
--- a/src/services/relay/slot-queue.ts
+++ b/src/services/relay/slot-queue.ts
@@ -21,11 +21,11 @@
 };
 
 /** How far calls of running requests go before others that came earlier: their parents hold slots meanwhile. */
-const innerAdvanceMs = 100;
+const innerAdvanceMs = 200;
 /** How far the foremost root goes before the last: about the wait at which most calls below come too late. */
 const shareAdvanceMs = 300;
-/** How far each step of priority puts work back; below an eighth of the shortest objectives. */
-const priorityStepMs = 30;
+/** How far each step of priority puts work back: two steps are less than the advance of calls, so that these go before all that begins. */
+const priorityStepMs = 75;
 const lowestPriority = 4;
 /** How far a request goes before its like when its caller has waited since a refusal. */
 const waitedAdvanceMs = 50;
--- a/src/services/relay/test/learned-call-graph-service.test.ts
+++ b/src/services/relay/test/learned-call-graph-service.test.ts
@@ -28,14 +28,14 @@
 
 test('calls are counted for the request that makes them, deep ones by their replies', t => {
 	const running = new RunningRequestSet();
-	running.begin('a');
-	t.true(running.isCalledFor('a.1'));
-	t.false(running.isCalledFor('a.1.2'));
-	t.false(running.isCalledFor('b'));
+	running.begin('a', 2);
+	t.is(running.callerPriority('a.1'), 2);
+	t.is(running.callerPriority('a.1.2'), undefined);
+	t.is(running.callerPriority('b'), undefined);
 	running.noteCall('a.1', {desk: 1});
 	running.noteCall('a.1', {stock: 4});
 	running.noteCall('a.2', {desk: 1});
 	running.noteCall('b.1', {desk: 1});
 	t.deepEqual(running.end('a'), {desk: 2, stock: 4});
-	t.false(running.isCalledFor('a.1'));
+	t.is(running.callerPriority('a.1'), undefined);
 });
