--- a/src/runtime/http/end-to-end-headers.ts
+++ b/src/runtime/http/end-to-end-headers.ts
@@ -1,18 +1,5 @@
-/** Headers that concern one connection only (RFC 9110, 7.6.1), or that each hop sets itself. */
-const hopHeaders = new Set([
-	'connection',
-	'keep-alive',
-	'proxy-authenticate',
-	'proxy-authorization',
-	'proxy-connection',
-	'te',
-	'trailer',
-	'transfer-encoding',
-	'upgrade',
-	'host',
-	'content-length',
-	'expect',
-]);
+import {hopHeaders} from './hop-headers.js';
+
 const ownPrefix = 'kumquatline-';
 
 /** Headers to pass on, in lower case; several `set-cookie` are parted by line feeds, which no header can hold. */
@@ -20,7 +7,7 @@
 	const named = connectionHeaders(headers.connection);
 	const kept: Record<string, string> = {};
 	for (const [name, value] of Object.entries(headers)) {
-		if (value === undefined || hopHeaders.has(name) || name.startsWith(ownPrefix) || named?.has(name)) {
+		if (value === undefined || hopHeaders.has(name) || name === 'host' || name.startsWith(ownPrefix) || named?.has(name)) {
 			continue;
 		}
 
--- a/src/services/exchange/keep-end-to-end.ts
+++ b/src/runtime/http/keep-end-to-end.ts
@@ -1,8 +1,5 @@
 import {findHeader} from './find-header.js';
-
-const connectionHeaders: ReadonlySet<string> = new Set([
-	'connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'content-length', 'expect',
-]);
+import {hopHeaders} from './hop-headers.js';
 
 /** Leaves out the headers that concern a single connection or frame the body, and those named. */
 export function keepEndToEnd(headers: readonly string[], except: ReadonlySet<string> = new Set()): string[] {
@@ -10,7 +7,7 @@
 	const kept: string[] = [];
 	for (let index = 0; index < headers.length; index += 2) {
 		const name = headers[index].toLowerCase();
-		if (!connectionHeaders.has(name) && !listed.has(name) && !except.has(name)) {
+		if (!hopHeaders.has(name) && !listed.has(name) && !except.has(name)) {
 			kept.push(headers[index], headers[index + 1]);
 		}
 	}
--- a/src/services/exchange/exchange-connection.ts
+++ b/src/services/exchange/exchange-connection.ts
@@ -4,9 +4,9 @@
 import {ErrorKind} from '../../base/error-kind.js';
 import {KumquatlineError} from '../../base/kumquatline-error.js';
 import {type HeaderNames} from '../../runtime/http/header-names.js';
+import {findHeader} from '../../runtime/http/find-header.js';
 import {AnswerParser, type ParsedAnswer} from './answer-parser.js';
 import {type ExchangeRequest} from './exchange-request.js';
-import {findHeader} from './find-header.js';
 
 /** Idle time after which a backend server that names none may close a connection. */
 const defaultIdleMs = 4000;
--- a/src/services/exchange/pooled-exchange-service.ts
+++ b/src/services/exchange/pooled-exchange-service.ts
@@ -4,13 +4,13 @@
 import {HeaderNames} from '../../runtime/http/header-names.js';
 import {MetricsService} from '../../runtime/metrics/metrics-service.js';
 import {RelaySettingsService} from '../../runtime/settings/relay-settings-service.js';
+import {findHeader} from '../../runtime/http/find-header.js';
+import {keepEndToEnd} from '../../runtime/http/keep-end-to-end.js';
 import {type ParsedAnswer} from './answer-parser.js';
 import {type ExchangeAnswer} from './exchange-answer.js';
 import {ExchangeConnection} from './exchange-connection.js';
 import {type ExchangeRequest} from './exchange-request.js';
 import {type ExchangeService} from './exchange-service.js';
-import {findHeader} from './find-header.js';
-import {keepEndToEnd} from './keep-end-to-end.js';
 
 /** A backend server on the same VM takes a connection in a millisecond or two; one that doesn't is gone or full. */
 const connectTimeoutMs = 500;
--- a/src/services/relay/mesh-relay-service.ts
+++ b/src/services/relay/mesh-relay-service.ts
@@ -1,7 +1,7 @@
-import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {createRandom} from '../../base/create-random.js';
 import {createUuid} from '../../base/create-uuid.js';
 import {type Disposable} from '../../base/disposable.js';
+import {drawByWeight} from '../../base/draw-by-weight.js';
 import {ErrorKind} from '../../base/error-kind.js';
 import {fromWireError} from '../../base/from-wire-error.js';
 import {KumquatlineError} from '../../base/kumquatline-error.js';
@@ -83,7 +83,7 @@
 
 	async relay(entered: EnteredRequest, signal: AbortSignal): Promise<RelayAnswer> {
 		const {matched, endsAtMs, callerPriority, ...rest} = entered;
-		const service = this.drawService(matched);
+		const {service} = drawByWeight(matched.targets, ({weight}) => weight, this.random)!;
 		const request: RelayRequest = {
 			...rest,
 			service,
@@ -172,24 +172,6 @@
 		this.callGraph.noteThreshold(service, this.chooser.thresholdOf(service), load.heard);
 	}
 
-	/** Draws one of a route's services in proportion to their weights. */
-	private drawService({targets}: Route): string {
-		let total = 0;
-		for (const {weight} of targets) {
-			total += weight;
-		}
-
-		let rest = uniformFloat64(this.random) * total;
-		for (const {service, weight} of targets) {
-			rest -= weight;
-			if (rest < 0) {
-				return service;
-			}
-		}
-
-		return targets[0].service;
-	}
-
 	private logEnd({requestId, route, service, isInner}: RelayRequest, attempts: readonly Attempt[]): void {
 		const last = attempts.at(-1);
 		this.metrics.count('relayed', {route, outcome: last?.answer ? String(last.answer.status) : last?.failure?.kind ?? ErrorKind.NoUpstream});
--- a/src/services/relay/test/slot-queue.test.ts
+++ b/src/services/relay/test/slot-queue.test.ts
@@ -12,6 +12,14 @@
 	};
 }
 
+function pauseClock(t: {teardown(release: () => void): void}) {
+	const clock = install();
+	t.teardown(() => {
+		clock.uninstall();
+	});
+	return clock;
+}
+
 /** Enters work and tells its name when it may begin. */
 async function enter(queue: SlotQueue, begun: string[], name: string, item: QueuedWork): Promise<void> {
 	try {
@@ -23,10 +31,7 @@
 }
 
 test.serial('calls of running requests go first, then by priority, then by arrival', async t => {
-	const clock = install();
-	t.teardown(() => {
-		clock.uninstall();
-	});
+	const clock = pauseClock(t);
 	const queue = new SlotQueue(() => 1);
 	const begun: string[] = [];
 	await enter(queue, begun, 'running', work(2));
@@ -46,10 +51,7 @@
 });
 
 test.serial('work that can not end in time is refused at once, or when its turn comes', async t => {
-	const clock = install();
-	t.teardown(() => {
-		clock.uninstall();
-	});
+	const clock = pauseClock(t);
 	const queue = new SlotQueue(() => 1);
 	const begun: string[] = [];
 	await enter(queue, begun, 'first', work(0));
@@ -75,10 +77,7 @@
 });
 
 test.serial('the least urgent work goes before what came much later', async t => {
-	const clock = install();
-	t.teardown(() => {
-		clock.uninstall();
-	});
+	const clock = pauseClock(t);
 	const queue = new SlotQueue(() => 1);
 	const begun: string[] = [];
 	await enter(queue, begun, 'running', work(2));
@@ -104,10 +103,7 @@
 });
 
 test.serial('calls of one root go before those of another at every service alike', async t => {
-	const clock = install();
-	t.teardown(() => {
-		clock.uninstall();
-	});
+	const clock = pauseClock(t);
 	const queue = new SlotQueue(() => 1);
 	const begun: string[] = [];
 	await enter(queue, begun, 'running', work(2));
--- a/src/services/relay/upstream-chooser.ts
+++ b/src/services/relay/upstream-chooser.ts
@@ -1,5 +1,5 @@
-import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {type RandomGenerator} from 'pure-rand/types/RandomGenerator';
+import {drawByWeight} from '../../base/draw-by-weight.js';
 import {type UpstreamLoad} from '../admission/upstream-load.js';
 import {type Member} from '../membership/member.js';
 import {type MembershipService} from '../membership/membership-service.js';
@@ -116,7 +116,7 @@
 		const usualMs = this.usualMs(left) * newcomerShare;
 		let best: Member | undefined;
 		for (let draw = 0; draw < draws; draw++) {
-			const drawn = this.drawByLimit(left);
+			const drawn = drawByWeight(left, member => this.limitOf(member), this.random);
 			if (drawn && (!best || this.expectedMs(drawn, usualMs) < this.expectedMs(best, usualMs))) {
 				best = drawn;
 			}
@@ -140,23 +140,6 @@
 		return known === 0 ? 1 : total / known;
 	}
 
-	private drawByLimit(candidates: readonly Member[]): Member | undefined {
-		let total = 0;
-		for (const member of candidates) {
-			total += this.limitOf(member);
-		}
-
-		let rest = uniformFloat64(this.random) * total;
-		for (const member of candidates) {
-			rest -= this.limitOf(member);
-			if (rest < 0) {
-				return member;
-			}
-		}
-
-		return candidates.at(-1);
-	}
-
 	private hasRoom(member: Member): boolean {
 		return this.utilisation(member) < fullShare && this.recordOf(member).health.failureShare < failingShare;
 	}
--- a/src/services/routing/policy-routing-service.ts
+++ b/src/services/routing/policy-routing-service.ts
@@ -1,6 +1,6 @@
 import findMyWay from 'find-my-way';
-import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {createRandom} from '../../base/create-random.js';
+import {drawByWeight} from '../../base/draw-by-weight.js';
 import {type Disposable} from '../../base/disposable.js';
 import {ErrorKind} from '../../base/error-kind.js';
 import {Execution} from '../../base/execution.js';
@@ -108,8 +108,8 @@
 
 	/** The less loaded of two different candidates drawn by limit (the power of two choices). */
 	protected pick(candidates: readonly Member[]): Member | undefined {
-		const first = this.drawByLimit(candidates);
-		const second = this.drawByLimit(candidates.filter(member => member !== first));
+		const first = this.draw(candidates);
+		const second = this.draw(candidates.filter(member => member !== first));
 		if (!first || !second) {
 			return first;
 		}
@@ -152,22 +152,8 @@
 		return this.router;
 	}
 
-	/** Draws a candidate with a chance in proportion to its limit. */
-	private drawByLimit(candidates: readonly Member[]): Member | undefined {
-		let total = 0;
-		for (const member of candidates) {
-			total += this.limitOf(member);
-		}
-
-		let rest = uniformFloat64(this.random) * total;
-		for (const member of candidates) {
-			rest -= this.limitOf(member);
-			if (rest < 0) {
-				return member;
-			}
-		}
-
-		return candidates.at(-1);
+	private draw(candidates: readonly Member[]): Member | undefined {
+		return drawByWeight(candidates, member => this.limitOf(member), this.random);
 	}
 
 	/** Work at an upstream in relation to its limit. */
