--- a/src/services/relay/early-refusal.ts
+++ b/src/services/relay/early-refusal.ts
@@ -4,6 +4,7 @@
 import {KumquatlineError} from '../../base/kumquatline-error.js';
 import {type LogService} from '../../runtime/log/log-service.js';
 import {rootShare} from '../admission/root-share.js';
+import {type MembershipService} from '../membership/membership-service.js';
 import {type CallGraphService} from './call-graph-service.js';
 import {type RelayRequest} from './relay-request.js';
 import {rootIdOf} from './root-id-of.js';
@@ -15,21 +16,39 @@
 /** Time after which a refused caller may come back: long enough that it counts as having waited, early enough for most objectives, spread over callers. */
 const leastRetryMs = 400;
 const retrySpreadMs = 600;
+/** Mean calls of a route from which on nearly every request makes one. */
+const certainCalls = 0.9;
 
 /** Refuses requests at their entry that a service on their way would refuse, before any work is done for them. */
 export class EarlyRefusal {
 	constructor(
 		private readonly callGraph: CallGraphService,
+		private readonly membership: Pick<MembershipService, 'upstreams'>,
 		private readonly log: LogService,
 		private readonly random: RandomGenerator,
 	) {}
 
-	/** Throws `overloaded` for a request that has to come back later; calls of running requests always go on. */
-	check({requestId, route, service, priority, isInner, hasWaited}: RelayRequest): void {
-		if (isInner) {
-			return;
+	/** Throws `overloaded` or `no-upstream` for a request that has to come back later; calls of running requests always go on. */
+	check(request: RelayRequest): void {
+		if (!request.isInner) {
+			this.checkUpstreams(request);
+			this.checkThresholds(request);
 		}
+	}
 
+	/** Refuses a request that would fail midway, as nobody is there to answer a call that it makes each time. */
+	private checkUpstreams({requestId, route}: RelayRequest): void {
+		for (const [name, calls] of this.callGraph.callsOf(route)) {
+			if (calls >= certainCalls && this.membership.upstreams(name).length === 0) {
+				this.log.info('refused early', {
+					id: requestId, route, service: name, calls, upstreams: 0,
+				});
+				throw new KumquatlineError(ErrorKind.NoUpstream, `service ${name}, which the request needs, has no upstream`, {started: false, retryAfterMs: this.retryAfterMs()});
+			}
+		}
+	}
+
+	private checkThresholds({requestId, route, service, priority, hasWaited}: RelayRequest): void {
 		const basis = Math.max(0, highestRank - priority) + (hasWaited ? waitedBonus : 0);
 		const share = rootShare(rootIdOf(requestId));
 		for (const [name, calls] of [[service, 1] as const, ...this.callGraph.callsOf(route)]) {
@@ -40,9 +59,12 @@
 				this.log.info('refused early', {
 					id: requestId, route, service: name, threshold, rank, hasWaited,
 				});
-				const retryAfterMs = leastRetryMs + (retrySpreadMs * uniformFloat64(this.random));
-				throw new KumquatlineError(ErrorKind.Overloaded, `service ${name} refuses work of this rank at present`, {started: false, retryAfterMs});
+				throw new KumquatlineError(ErrorKind.Overloaded, `service ${name} refuses work of this rank at present`, {started: false, retryAfterMs: this.retryAfterMs()});
 			}
 		}
 	}
+
+	private retryAfterMs(): number {
+		return leastRetryMs + (retrySpreadMs * uniformFloat64(this.random));
+	}
 }
--- a/src/services/relay/mesh-relay-service.ts
+++ b/src/services/relay/mesh-relay-service.ts
@@ -68,7 +68,7 @@
 	) {
 		this.random = createRandom(settings.seed, `${settings.nodeId}/relay`);
 		this.budgets = new RetryBudgets(relaySettings, membership, callGraph, metrics);
-		this.earlyRefusal = new EarlyRefusal(callGraph, log, this.random);
+		this.earlyRefusal = new EarlyRefusal(callGraph, membership, log, this.random);
 		this.chooser = new UpstreamChooser(membership, settings.availabilityZone, this.random);
 		this.subscription = membership.onDidChange(({nodeId, state}) => {
 			if (goneStates.has(state)) {
--- a/src/services/relay/test/early-refusal.test.ts
+++ b/src/services/relay/test/early-refusal.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import {createRandom} from '../../../base/create-random.js';
+import {type Member} from '../../membership/member.js';
 import {EarlyRefusal} from '../early-refusal.js';
 import {LearnedCallGraphService} from '../learned-call-graph-service.js';
 import {type RelayRequest} from '../relay-request.js';
@@ -9,12 +10,13 @@
 };
 const requests = 200;
 
-function openRefusal(threshold: number): EarlyRefusal {
+function openRefusal(threshold: number, upstreamCount = 1): EarlyRefusal {
 	const graph = new LearnedCallGraphService();
 	graph.noteCalls('heavy', {stock: 8}, true);
 	graph.noteCalls('unrelated', {}, true);
 	graph.noteThreshold('stock', threshold, []);
-	return new EarlyRefusal(graph, log, createRandom(1, 'test'));
+	const known: Partial<Member> = {};
+	return new EarlyRefusal(graph, {upstreams: () => Array.from({length: upstreamCount}, () => known as Member)}, log, createRandom(1, 'test'));
 }
 
 function request(index: number, change: Partial<RelayRequest>): RelayRequest {
@@ -67,3 +69,10 @@
 	t.like(error, {kind: 'overloaded', started: false});
 	t.true((error as unknown as {retryAfterMs: number}).retryAfterMs >= 400);
 });
+
+test('a request that needs a service without upstreams is refused before it runs, unless it is a call itself', t => {
+	const refusal = openRefusal(0, 0);
+	t.is(admitted(refusal, {}), 0);
+	t.is(admitted(refusal, {isInner: true}), 1);
+	t.is(admitted(refusal, {route: 'unrelated'}), 1);
+});
