--- a/src/platform/control/control-server.ts
+++ b/src/platform/control/control-server.ts
@@ -5,8 +5,7 @@
 import {type Disposable} from '../../base/disposable.js';
 import {LogService} from '../../runtime/log/log-service.js';
 import {RelaySettingsService} from '../../runtime/settings/relay-settings-service.js';
-import {type InstanceBoard} from '../../services/backend/instance-board.js';
-import {InstanceSource} from '../../services/backend/instance-source.js';
+import {InstanceService} from '../../services/backend/instance-service.js';
 import {decodeReport} from './decode-report.js';
 
 const pathPrefix = '/v1/instances/';
@@ -23,7 +22,7 @@
 
 	constructor(
 		@RelaySettingsService private readonly settings: RelaySettingsService,
-		@InstanceSource private readonly board: InstanceBoard,
+		@InstanceService private readonly instances: InstanceService,
 		@LogService private readonly log: LogService,
 	) {}
 
@@ -52,7 +51,7 @@
 
 	private async take(request: IncomingMessage, instanceId: string): Promise<number> {
 		if (request.method === 'DELETE') {
-			this.board.leave(instanceId);
+			this.instances.leave(instanceId);
 			return okStatus;
 		}
 
@@ -68,7 +67,7 @@
 			return unavailableStatus;
 		}
 
-		this.board.report(decoded.report);
+		this.instances.report(decoded.report);
 		return okStatus;
 	}
 }
--- a/src/programs/node/create-relay-kernel.ts
+++ b/src/programs/node/create-relay-kernel.ts
@@ -7,7 +7,7 @@
 import {type PlatformSettings} from '../../platform/settings/read-settings.js';
 import {ThresholdService} from '../../services/admission/threshold-service.js';
 import {InstanceBoard} from '../../services/backend/instance-board.js';
-import {InstanceSource} from '../../services/backend/instance-source.js';
+import {InstanceService} from '../../services/backend/instance-service.js';
 import {ExchangeService} from '../../services/exchange/exchange-service.js';
 import {PooledExchangeService} from '../../services/exchange/pooled-exchange-service.js';
 import {HttpOutboundService} from '../../services/outbound/http-outbound-service.js';
@@ -28,7 +28,7 @@
 		.registerInstance(RelaySettingsService, new PlatformSettingsService(settings.relay))
 		.registerInstance(HeaderNames, platformHeaderNames)
 		.register(PolicyService, ManifestPolicyService)
-		.register(InstanceSource, InstanceBoard)
+		.register(InstanceService, InstanceBoard)
 		.register(ExchangeService, PooledExchangeService)
 		.register(RunningRequests, RunningRequestSet)
 		.register(CallGraphService, LearnedCallGraphService)
--- a/src/programs/node/relay-node.ts
+++ b/src/programs/node/relay-node.ts
@@ -11,8 +11,7 @@
 import {StoreService} from '../../runtime/store/store-service.js';
 import {ControlServer} from '../../platform/control/control-server.js';
 import {ReadyServer} from '../../platform/ready-server.js';
-import {type InstanceBoard} from '../../services/backend/instance-board.js';
-import {InstanceSource} from '../../services/backend/instance-source.js';
+import {InstanceService} from '../../services/backend/instance-service.js';
 import {type InstanceReport} from '../../services/backend/instance-report.js';
 import {MembershipService} from '../../services/membership/membership-service.js';
 import {OutboundService} from '../../services/outbound/outbound-service.js';
@@ -104,8 +103,7 @@
 	}
 
 	private wire(): void {
-		const board = this.kernel.get(InstanceSource) as InstanceBoard;
-		this.resources.add(board.onDidChange(instance => {
+		this.resources.add(this.kernel.get(InstanceService).onDidChange(instance => {
 			this.noteInstance(instance);
 		}));
 		this.resources.add(this.kernel.get(StoreService).onDidChangeReach(reachable => {
--- a/src/services/admission/shed-limit-service.ts
+++ b/src/services/admission/shed-limit-service.ts
@@ -10,7 +10,7 @@
 /** Takes the announced bounds until the backend server sheds; then less, and one more each second. */
 export class ShedLimitService implements LimitService {
 	private announced = 0;
-	private port = 0;
+	private identity = 0;
 	private fallen = Number.POSITIVE_INFINITY;
 	private shedAtMs = Number.NEGATIVE_INFINITY;
 
@@ -23,10 +23,10 @@
 		return Math.min(this.announced, this.fallen + regained);
 	}
 
-	setAnnounced(slots: number, connections: number, port: number): void {
+	setAnnounced(slots: number, connections: number, identity: number): void {
 		this.announced = Math.min(slots, connections);
-		if (port !== this.port) {
-			this.port = port;
+		if (identity !== this.identity) {
+			this.identity = identity;
 			this.fallen = Number.POSITIVE_INFINITY;
 		}
 	}
--- a/src/services/backend/instance-board.ts
+++ b/src/services/backend/instance-board.ts
@@ -4,12 +4,13 @@
 import {LogService} from '../../runtime/log/log-service.js';
 import {RelaySettingsService} from '../../runtime/settings/relay-settings-service.js';
 import {type InstanceReport} from './instance-report.js';
+import {type InstanceService} from './instance-service.js';
 
 /** Reports that may fail to come before a backend server counts as gone; one may be seconds late. */
 const missedReports = 4;
 
 /** The VM's backend server as it reports itself, boot after boot; late reports of earlier boots change nothing. */
-export class InstanceBoard implements Disposable {
+export class InstanceBoard implements InstanceService, Disposable {
 	private readonly emitter = new Emitter<InstanceReport | undefined>();
 	private latest: InstanceReport | undefined;
 	private hasLeft = false;
@@ -20,7 +21,6 @@
 		@LogService private readonly log: LogService,
 	) {}
 
-	/** The boot that is there, leaving or not; undefined before the first report and after the last. */
 	get current(): InstanceReport | undefined {
 		return this.hasLeft ? undefined : this.latest;
 	}
@@ -29,7 +29,6 @@
 		return this.emitter.event;
 	}
 
-	/** Takes a report unless it is older than what is known. */
 	report(report: InstanceReport): void {
 		if (this.latest && !isNewer(report, this.latest, this.hasLeft)) {
 			this.log.info('ignored a late report', {instance: report.instanceId, sequence: report.sequence, known: this.latest.instanceId});
@@ -48,7 +47,6 @@
 		this.emitter.fire(report);
 	}
 
-	/** Takes the word that a backend server leaves; it serves what it has and gets nothing more. */
 	leave(instanceId: string): void {
 		if (this.latest?.instanceId === instanceId && !this.hasLeft) {
 			this.log.info('backend server has left', {instance: instanceId});
--- a/src/services/relay/relay-executor.ts
+++ b/src/services/relay/relay-executor.ts
@@ -13,7 +13,7 @@
 import {ThresholdService} from '../admission/threshold-service.js';
 import {type UpstreamLoad} from '../admission/upstream-load.js';
 import {type InstanceReport} from '../backend/instance-report.js';
-import {InstanceSource} from '../backend/instance-source.js';
+import {InstanceService} from '../backend/instance-service.js';
 import {type ExchangeAnswer} from '../exchange/exchange-answer.js';
 import {ExchangeService} from '../exchange/exchange-service.js';
 import {BackendBreaker} from './backend-breaker.js';
@@ -46,7 +46,7 @@
 
 	constructor(
 		@PeerService peers: PeerService,
-		@InstanceSource private readonly instances: InstanceSource,
+		@InstanceService private readonly instances: InstanceService,
 		@LimitService private readonly limit: LimitService,
 		@ThresholdService private readonly threshold: ThresholdService,
 		@CallGraphService private readonly callGraph: CallGraphService,
--- a/xo.config.js
+++ b/xo.config.js
@@ -43,7 +43,7 @@
 	},
 	{
 		// Such a file holds one interface and the identifier of the same name, nothing else.
-		files: ['src/**/*-service.ts', 'src/runtime/http/header-names.ts', 'src/services/backend/instance-source.ts', 'src/services/relay/running-requests.ts'],
+		files: ['src/**/*-service.ts', 'src/runtime/http/header-names.ts', 'src/services/relay/running-requests.ts'],
 		rules: {
 			'@typescript-eslint/naming-convention': 'off',
 		},
