Tell a reset from an end in good order for answers without a length

Excluded: the parser, which is told of the end only then. Change: before an answer without a length is taken for whole, an empty line is written to the connection; that fails on one that was reset. Test fails first, on loopback, in 3 of 3 runs: bytes and reset arrive together.

--- a/src/services/exchange/exchange-connection.ts
+++ b/src/services/exchange/exchange-connection.ts
@@ -42,7 +42,9 @@
 		this.parser = new AnswerParser(options.maxAnswerBytes, answer => {
 			this.receive(answer);
 		});
-		this.socket = connect({host: options.host, port: options.port, noDelay: true});
+		this.socket = connect({
+			host: options.host, port: options.port, noDelay: true, allowHalfOpen: true,
+		});
 		this.socket.setTimeout(options.connectTimeoutMs, () => {
 			this.fail('no connection in time');
 		});
@@ -165,7 +167,25 @@
 		}
 	}
 
+	/** The other end sends no more. */
 	private finish(): void {
+		if (!this.pending || !this.parser.isInside) {
+			this.fail('the backend server closed the connection');
+			return;
+		}
+
+		// A reset that comes with the last bytes is reported as an end in good order; only a write tells the two apart.
+		this.socket.write('\r\n', error => {
+			if (error) {
+				this.fail('the connection was reset');
+			} else {
+				this.finishAnswer();
+			}
+		});
+	}
+
+	/** Completes an answer without a length, whose end is that of its connection. */
+	private finishAnswer(): void {
 		try {
 			this.parser.finish();
 		} catch {
--- a/src/services/exchange/test/pooled-exchange-service.test.ts
+++ b/src/services/exchange/test/pooled-exchange-service.test.ts
@@ -54,6 +54,15 @@
 	t.like(await exchange('r1'), {status: 200, body: 'up to the end'});
 });
 
+test('an answer without a length is not whole when its bytes and the reset arrive together', async t => {
+	const {exchange} = await openRawBackend(t, socket => {
+		socket.pause();
+		socket.write('HTTP/1.1 200 OK\r\nid: r1\r\nsignature: s\r\n\r\nhalf');
+		socket.destroy();
+	});
+	t.like(await t.throwsAsync(exchange('r1', undefined, 'x'.repeat(8_000_000))), {kind: 'backend-failed'});
+});
+
 test('marked refusals and another boot at the address did not run', async t => {
 	const {exchange} = await openRawBackend(t, (socket, number) => {
 		socket.write(number === 1
