Keep one record of an upstream's load; let the store stand-in say which calls are reads

Read once more: the chooser of the platform's path had a copy of routing's record of an upstream, and a bench held names of the platform's wire. Behaviour is as it was.

--- a/bench/slopes/call-rates.ts
+++ b/bench/slopes/call-rates.ts
@@ -1,4 +1,5 @@
 import {sleep} from '../../src/base/sleep.js';
+import {readCalls} from '../../standins/store/read-calls.js';
 import {type StoreStandIn} from '../../standins/store/store-stand-in.js';
 
 const bucketMs = 1000;
@@ -12,7 +13,7 @@
 	readonly callsByPath: Readonly<Record<string, number>>;
 };
 
-/** Counts the store's calls second by second; leases count as writes, watches and ranges as reads. */
+/** Counts the store's calls second by second; what counts as a read the stand-in says. */
 export async function measureCallRates(store: StoreStandIn, durationMs: number): Promise<CallRates> {
 	const writes: number[] = [];
 	const reads: number[] = [];
@@ -34,9 +35,6 @@
 	};
 }
 
-/** Calls that the store counts as reads. */
-const readCalls = ['kv-key', 'kv-range', 'kv-watch', 'kv-keep'];
-
 function countReads(counts: Readonly<Record<string, number>>): number {
 	return readCalls.reduce((total, call) => total + (counts[call] ?? 0), 0);
 }
--- a/src/services/relay/upstream-chooser.ts
+++ b/src/services/relay/upstream-chooser.ts
@@ -3,6 +3,7 @@
 import {type UpstreamLoad} from '../admission/upstream-load.js';
 import {type Member} from '../membership/member.js';
 import {type MembershipService} from '../membership/membership-service.js';
+import {type UpstreamRecord} from '../routing/upstream-record.js';
 import {UpstreamHealth} from './upstream-health.js';
 
 /** Time after which a reported load counts no longer. */
@@ -22,13 +23,7 @@
 /** How strongly work beyond the limit counts: it waits for a whole run or more. */
 const overfullFactor = 4;
 
-type UpstreamRecord = {
-	/** Requests of this node that have not ended. */
-	inFlight: number;
-	/** Requests that this node began since the load was heard. */
-	begunSinceHeard: number;
-	load?: UpstreamLoad;
-	heardAtMs: number;
+type KnownUpstream = UpstreamRecord & {
 	readonly health: UpstreamHealth;
 };
 
@@ -41,7 +36,7 @@
 
 /** Chooses the upstream of a service with the least expected time, in the own availability zone while that has room. */
 export class UpstreamChooser {
-	private readonly records = new Map<string, UpstreamRecord>();
+	private readonly records = new Map<string, KnownUpstream>();
 
 	constructor(
 		private readonly membership: MembershipService,
@@ -163,7 +158,7 @@
 		return Math.max(1, this.recordOf(member).load?.limit ?? member.slots);
 	}
 
-	private recordOf({nodeId}: Member): UpstreamRecord {
+	private recordOf({nodeId}: Member): KnownUpstream {
 		let record = this.records.get(nodeId);
 		if (!record) {
 			record = {
