Carry bodies between nodes as bytes on every path

Cause: calls of the own interfaces still carried bodies as base64 in JSON, a third more bytes and several copies. Excluded: flattening each message for a body at its top; owners' replies and hand-overs hold answers deep down. Change: any bytes in a message between nodes travel behind its JSON text, with their places; malformed places break the protocol and nothing runs. An owner keeps a copy of an answer's body, as the received one may be part of a longer buffer.

--- a/bench/added-latency/added-latency-plan.ts
+++ b/bench/added-latency/added-latency-plan.ts
@@ -1,7 +1,7 @@
 import {type GraphPlan} from '../../standins/graph/graph-plan.js';
 
-/** An entry node without a part in the call, and one upstream in the same availability zone. */
-export function addedLatencyPlan(seed: number): GraphPlan {
+/** An entry node without a part in the call, and one upstream in the same availability zone, with answers of at least so many bytes. */
+export function addedLatencyPlan(seed: number, answerBytes: number): GraphPlan {
 	return {
 		seed,
 		nodes: [
@@ -9,7 +9,7 @@
 				nodeId: 'entry', availabilityZone: 'zone-a', service: 'catalogue', slots: 8, serviceTimeMs: 0,
 			},
 			{
-				nodeId: 'upstream', availabilityZone: 'zone-a', service: 'hire-desk', slots: 8, serviceTimeMs: 0,
+				nodeId: 'upstream', availabilityZone: 'zone-a', service: 'hire-desk', slots: 8, serviceTimeMs: 0, backendFlags: ['--answer-bytes', String(answerBytes)],
 			},
 		],
 		policy: {
--- a/bench/added-latency/run.ts
+++ b/bench/added-latency/run.ts
@@ -19,9 +19,9 @@
 straight to the same backend server, and over the same hops without decisions (the floor).
 */
 export async function run({seed, args}: BenchOptions): Promise<unknown> {
-	const roundsIndex = args.indexOf('--rounds');
-	const rounds = roundsIndex === -1 ? defaultRounds : Number(args[roundsIndex + 1]);
-	const graph = new ProcessGraph(addedLatencyPlan(seed));
+	const rounds = numberAfter(args, '--rounds') ?? defaultRounds;
+	const answerBytes = numberAfter(args, '--answer-bytes') ?? 0;
+	const graph = new ProcessGraph(addedLatencyPlan(seed, answerBytes));
 	const floor: ChildProgram[] = [];
 	try {
 		await graph.start();
@@ -35,6 +35,7 @@
 		];
 		const report = {
 			rounds,
+			answerBytes,
 			read: await compare(paths, 'GET', '/stock/7', rounds),
 			book: await compare(paths, 'POST', '/bookings', rounds),
 		};
@@ -46,6 +47,11 @@
 	}
 }
 
+function numberAfter(args: readonly string[], flag: string): number | undefined {
+	const index = args.indexOf(flag);
+	return index === -1 ? undefined : Number(args[index + 1]);
+}
+
 async function startFloor(floor: ChildProgram[], file: string, port: number): Promise<number> {
 	const program = new ChildProgram('floor', [file, String(port)], isReady);
 	floor.push(program);
--- a/bench/slopes/state-worker.ts
+++ b/bench/slopes/state-worker.ts
@@ -1,4 +1,5 @@
 // A process of its own, for a clean heap: prints what an idempotency entry, a connection and a call between nodes cost.
+import {Buffer} from 'node:buffer';
 import process from 'node:process';
 import {v7 as uuidv7} from 'uuid';
 import {type PeerAddress} from '../../src/runtime/peer/peer-address.js';
@@ -32,8 +33,8 @@
 		};
 		table.add(entry);
 		// Each answer is a text of its own, as those that arrive are.
-		const bodyBase64 = [...`${index}`.padEnd(answerBytes, 'x')].join('');
-		table.complete(entry, {status: 200, headers: {'content-type': 'application/json'}, bodyBase64});
+		const body = Buffer.from(`${index}`.padEnd(answerBytes, 'x'));
+		table.complete(entry, {status: 200, headers: {'content-type': 'application/json'}, body});
 	}
 
 	return Math.round((usedBytes().heap - before) / table.size);
--- a/prove/ownership/mesh-run.ts
+++ b/prove/ownership/mesh-run.ts
@@ -69,7 +69,7 @@
 		try {
 			const request = makeRequest(requestId, {headers: {attempt: attemptId}}, {deadlineAtMs: Date.now() + patienceMs});
 			const answer = await this.call(node, request);
-			const answerMark = Buffer.from(answer.bodyBase64, 'base64').toString();
+			const answerMark = Buffer.from(answer.body).toString();
 			this.history.record({
 				...attempt, kind: EventKind.Answered, status: answer.status, answerMark,
 			});
--- a/src/runtime/peer/peer-connection.ts
+++ b/src/runtime/peer/peer-connection.ts
@@ -40,8 +40,8 @@
 	private readonly channel: FrameChannel;
 	private readonly silence: SilenceWatch;
 	private readonly transit = new TransitClock();
-	private readonly client = new JSONRPCClient<Uint8Array | undefined>((payload: unknown, attachment) => {
-		this.channel.send(payload, attachment);
+	private readonly client = new JSONRPCClient((payload: JSONRPCRequest) => {
+		this.send(payload);
 	});
 
 	private answering = 0;
@@ -73,7 +73,7 @@
 			},
 		});
 		void ignoreFailure(this.identified.promise);
-		this.channel.send(createJSONRPCNotification(helloMethod, {...options.self, sentAtMs: this.transit.nowMs}));
+		this.send(createJSONRPCNotification(helloMethod, {...options.self, sentAtMs: this.transit.nowMs}));
 	}
 
 	/** Identity of the other end once it has said hello; rejected when the connection closes before. */
@@ -144,7 +144,7 @@
 	}
 
 	notify(method: string, params: unknown): void {
-		this.channel.send(createJSONRPCNotification(method, params));
+		this.send(createJSONRPCNotification(method, params));
 	}
 
 	dispose(): void {
@@ -152,13 +152,17 @@
 	}
 
 	private async sendCall(id: string, method: string, timeoutMs: number, params: unknown): Promise<JSONRPCResponse> {
-		const {value, attachment} = detach(params);
-		const call: WireCall = {timeoutMs, sentAtMs: this.transit.nowMs, params: value};
-		return this.sendRequest(id, method, call, attachment);
+		const call: WireCall = {timeoutMs, sentAtMs: this.transit.nowMs, params};
+		return this.sendRequest(id, method, call);
 	}
 
-	private async sendRequest(id: string, method: string, params: unknown, attachment?: Uint8Array): Promise<JSONRPCResponse> {
-		const response = Promise.resolve(this.client.requestAdvanced(createJSONRPCRequest(id, method, params), attachment));
+	private send(payload: JSONRPCRequest | JSONRPCResponse): void {
+		const {message, attachment} = detach({...payload});
+		this.channel.send(message, attachment);
+	}
+
+	private async sendRequest(id: string, method: string, params: unknown): Promise<JSONRPCResponse> {
+		const response = Promise.resolve(this.client.requestAdvanced(createJSONRPCRequest(id, method, params)));
 		this.pending.set(id, response);
 		this.silence.begin();
 		try {
@@ -176,7 +180,7 @@
 		}
 
 		if (isJSONRPCResponse(payload)) {
-			attach(payload.result, attachment);
+			attach(payload, attachment);
 			this.receiveResponse(payload);
 			return;
 		}
@@ -195,7 +199,7 @@
 			throw new KumquatlineError(ErrorKind.PeerProtocol, 'request before the hello');
 		}
 
-		attach((payload.params as Partial<WireCall> | undefined)?.params, attachment);
+		attach(payload, attachment);
 		void this.answer(payload);
 	}
 
@@ -231,8 +235,7 @@
 		this.usedAtMs = performance.now();
 		this.refuseStuckReader();
 		if (response) {
-			const {value, attachment} = detach(response.result as unknown);
-			this.channel.send(attachment ? {...response, result: value} : response, attachment);
+			this.send(response);
 		}
 
 		if (this.answering === 0) {
@@ -260,7 +263,7 @@
 		this.options.metrics.count('peer.protocol_errors');
 		this.options.log.warn('peer connection broke the protocol', {peer: this.identity?.nodeId, reason: message});
 
-		this.channel.send(createJSONRPCErrorResponse(null, JSONRPCErrorCode.ParseError, message));
+		this.send(createJSONRPCErrorResponse(null, JSONRPCErrorCode.ParseError, message));
 		this.channel.end();
 	}
 
--- a/src/services/backend/backend-client.ts
+++ b/src/services/backend/backend-client.ts
@@ -1,9 +1,7 @@
-import {Buffer} from 'node:buffer';
 import {Pool} from 'undici';
 import {type Disposable} from '../../base/disposable.js';
 import {ErrorKind} from '../../base/error-kind.js';
 import {KumquatlineError} from '../../base/kumquatline-error.js';
-import {encodeBody} from '../calls/encode-body.js';
 import {endToEndHeaders} from '../../runtime/http/end-to-end-headers.js';
 import {type CallAnswer} from '../calls/call-answer.js';
 import {type CallRequest} from '../calls/call-request.js';
@@ -39,7 +37,7 @@
 				[BackendHeader.DeadlineMs]: String(Math.max(1, request.context.deadlineAtMs - Date.now())),
 				[BackendHeader.RequestId]: request.requestId,
 			},
-			body: request.bodyBase64 === '' ? undefined : Buffer.from(request.bodyBase64, 'base64'),
+			body: request.body.length === 0 ? undefined : request.body,
 		}, collector);
 		return collector;
 	}
@@ -64,7 +62,7 @@
 		throw shedError(headers);
 	}
 
-	return {status, headers: endToEndHeaders(headers), bodyBase64: encodeBody(body)};
+	return {status, headers: endToEndHeaders(headers), body};
 }
 
 function shedError(headers: CollectedAnswer['headers']): KumquatlineError {
--- a/src/services/backend/to-sub-call.ts
+++ b/src/services/backend/to-sub-call.ts
@@ -1,5 +1,4 @@
 import {type IncomingMessage} from 'node:http';
-import {encodeBody} from '../calls/encode-body.js';
 import {endToEndHeaders} from '../../runtime/http/end-to-end-headers.js';
 import {type CallRequest} from '../calls/call-request.js';
 import {type Operation} from '../policy/operation.js';
@@ -23,6 +22,6 @@
 		method,
 		target,
 		headers: endToEndHeaders(message.headers),
-		bodyBase64: encodeBody(body),
+		body,
 	};
 }
--- a/src/services/callers/request-builder.ts
+++ b/src/services/callers/request-builder.ts
@@ -6,7 +6,6 @@
 import {type CallRequest} from '../calls/call-request.js';
 import {type Operation} from '../policy/operation.js';
 import {type Policy} from '../policy/policy.js';
-import {encodeBody} from '../calls/encode-body.js';
 import {endToEndHeaders} from '../../runtime/http/end-to-end-headers.js';
 import {readBody} from '../../runtime/http/read-body.js';
 import {CallerHeader} from './caller-header.js';
@@ -64,7 +63,7 @@
 			method: message.method!,
 			target: message.url!,
 			headers: endToEndHeaders(message.headers),
-			bodyBase64: encodeBody(body),
+			body,
 		};
 	}
 
--- a/src/services/calls/call-answer.ts
+++ b/src/services/calls/call-answer.ts
@@ -2,5 +2,5 @@
 export type CallAnswer = {
 	readonly status: number;
 	readonly headers: Readonly<Record<string, string>>;
-	readonly bodyBase64: string;
+	readonly body: Uint8Array;
 };
--- a/src/services/calls/call-request.ts
+++ b/src/services/calls/call-request.ts
@@ -14,5 +14,5 @@
 	readonly target: string;
 	/** Lower-case names; hop-by-hop headers left out. */
 	readonly headers: Readonly<Record<string, string>>;
-	readonly bodyBase64: string;
+	readonly body: Uint8Array;
 };
--- a/src/services/calls/test/calls.test.ts
+++ b/src/services/calls/test/calls.test.ts
@@ -16,7 +16,7 @@
 import {GraphCallService} from '../graph-call-service.js';
 import {RoutedUpstreamService} from '../routed-upstream-service.js';
 
-const answer: CallAnswer = {status: 200, headers: {}, bodyBase64: ''};
+const answer: CallAnswer = {status: 200, headers: {}, body: new Uint8Array()};
 const load = {
 	inFlight: 0, limit: 1, queued: 0, queueWaitMs: 0, threshold: 0,
 };
@@ -36,7 +36,7 @@
 		method: 'GET',
 		target: '/panels/1',
 		headers: {},
-		bodyBase64: '',
+		body: new Uint8Array(),
 	};
 }
 
--- a/src/services/calls/write-answer.ts
+++ b/src/services/calls/write-answer.ts
@@ -1,4 +1,3 @@
-import {Buffer} from 'node:buffer';
 import {type ServerResponse} from 'node:http';
 import {type CallAnswer} from './call-answer.js';
 
@@ -7,7 +6,7 @@
 
 /** Sends a whole answer in one piece. */
 export function writeAnswer(response: ServerResponse, answer: CallAnswer): void {
-	const body = Buffer.from(answer.bodyBase64, 'base64');
+	const {body} = answer;
 	const headers: Record<string, string | string[]> = {...answer.headers};
 	if (answer.status !== noContentStatus) {
 		headers['content-length'] = String(body.length);
--- a/src/services/outbound/http-outbound-service.ts
+++ b/src/services/outbound/http-outbound-service.ts
@@ -156,7 +156,7 @@
 		const timeoutMs = patienceMs >= 0 ? Math.min(patienceMs, matched.timeoutMs) : matched.timeoutMs;
 		const endsAtMs = enteredAtMs + timeoutMs;
 		const callerPriority = this.runningRequests.callerPriority(requestId);
-		const attachment = await this.readBody(message, endsAtMs);
+		const body = await this.readBody(message, endsAtMs);
 		return {
 			requestId,
 			matched,
@@ -166,7 +166,7 @@
 			headers: [...keepEndToEnd(message.rawHeaders, this.replacedHeaders), this.names.caller, this.settings.relay.service],
 			callerPriority,
 			hasWaited: callerPriority === undefined && this.patience.hasWaited(matched.name, patienceMs),
-			attachment,
+			body,
 		};
 	}
 
--- a/src/services/ownership/idempotency-table.ts
+++ b/src/services/ownership/idempotency-table.ts
@@ -53,7 +53,8 @@
 		entry.state = EntryState.Completed;
 		const isListed = this.get(entry.shardKey, entry.requestId) === entry;
 		if (isListed && this.answerBytes + sizeOf(answer) <= this.bounds.maxAnswerBytes) {
-			entry.answer = answer;
+			// A copy: the body may be a part of a much longer buffer.
+			entry.answer = {...answer, body: Uint8Array.from(answer.body)};
 			this.answerBytes += sizeOf(answer);
 		}
 	}
@@ -96,5 +97,5 @@
 }
 
 function sizeOf(answer: CallAnswer | undefined): number {
-	return answer ? answer.bodyBase64.length + JSON.stringify(answer.headers).length : 0;
+	return answer ? answer.body.length + JSON.stringify(answer.headers).length : 0;
 }
--- a/src/services/ownership/test/mesh/make-request.ts
+++ b/src/services/ownership/test/mesh/make-request.ts
@@ -25,7 +25,7 @@
 		method: 'POST',
 		target: '/charges',
 		headers: {},
-		bodyBase64: '',
+		body: new Uint8Array(),
 		...changed,
 	};
 }
--- a/src/services/ownership/test/mesh/mesh-backends.ts
+++ b/src/services/ownership/test/mesh/mesh-backends.ts
@@ -51,7 +51,7 @@
 			throw new KumquatlineError(ErrorKind.BackendFailed, 'failed', {started: true});
 		}
 
-		return {status: 200, headers: {}, bodyBase64: Buffer.from(`done ${requestId}`).toString('base64')};
+		return {status: 200, headers: {}, body: Buffer.from(`done ${requestId}`)};
 	}
 }
 
--- a/src/services/ownership/test/mesh/mesh-bench.ts
+++ b/src/services/ownership/test/mesh/mesh-bench.ts
@@ -47,7 +47,7 @@
 	async attempt(node: MeshNode, request = makeRequest('order-1'), {signal} = new AbortController()): Promise<AttemptOutcome> {
 		try {
 			const answer = await node.get(OwnershipService).run(request, signal);
-			return {answer: Buffer.from(answer.bodyBase64, 'base64').toString()};
+			return {answer: Buffer.from(answer.body).toString()};
 		} catch (error) {
 			if (!(error instanceof KumquatlineError)) {
 				throw error;
--- a/src/services/ownership/test/shard-hand-over.test.ts
+++ b/src/services/ownership/test/shard-hand-over.test.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import test from 'ava';
 import {ErrorKind} from '../../../base/error-kind.js';
 import {Execution} from '../../../base/execution.js';
@@ -23,7 +24,7 @@
 		await bench.settle(bench.mesh.kill(owner));
 		t.not(bench.ownerOf('order-1'), owner);
 		t.deepEqual(await bench.attempted(bench.otherThan(owner)), {answer: 'done order-1'});
-		const reused = await bench.attempted(bench.otherThan(owner), makeRequest('order-1', {bodyBase64: 'b3RoZXI='}));
+		const reused = await bench.attempted(bench.otherThan(owner), makeRequest('order-1', {body: Buffer.from('other')}));
 		t.is(reused.kind, ErrorKind.KeyReused);
 		t.is(bench.mesh.parts.backends.executions.length, 1);
 	});
--- a/src/services/ownership/test/sharded-ownership-service.test.ts
+++ b/src/services/ownership/test/sharded-ownership-service.test.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import test from 'ava';
 import {v7} from 'uuid';
 import {Deferred} from '../../../base/deferred.js';
@@ -21,7 +22,7 @@
 test.serial('an id can not be used for another request', async t => {
 	await MeshBench.with(2, async bench => {
 		await bench.attempted(bench.mesh.nodes[0]);
-		const outcome = await bench.attempted(bench.mesh.nodes[1], makeRequest('order-1', {bodyBase64: 'b3RoZXI='}));
+		const outcome = await bench.attempted(bench.mesh.nodes[1], makeRequest('order-1', {body: Buffer.from('other')}));
 		t.is(outcome.kind, ErrorKind.KeyReused);
 		t.is(bench.mesh.parts.backends.executions.length, 1);
 	});
--- a/src/services/relay/mesh-relay-service.ts
+++ b/src/services/relay/mesh-relay-service.ts
@@ -193,12 +193,12 @@
 	return reply?.failure ? reply.failure.kind === ErrorKind.Overloaded : (reply?.status ?? firstFailureStatus) < firstFailureStatus;
 }
 
-function toAttempt(nodeId: string, {status, headers, attachment, failure, offered}: RelayReply): Attempt {
+function toAttempt(nodeId: string, {status, headers, body = new Uint8Array(), failure, offered}: RelayReply): Attempt {
 	if (status === undefined || !headers) {
 		return {nodeId, failure: fromWireError(failure ?? {kind: ErrorKind.PeerProtocol, message: 'a reply without answer or failure'}), offered};
 	}
 
-	return {nodeId, answer: {status, headers, body: attachment ?? new Uint8Array()}, offered};
+	return {nodeId, answer: {status, headers, body}, offered};
 }
 
 /** The outcome of all attempts: the last answer if there was one, else the failure that promises least. */
--- a/src/services/relay/relay-executor.ts
+++ b/src/services/relay/relay-executor.ts
@@ -97,7 +97,7 @@
 			const {status, headers, body} = await this.execute(request, call, offer);
 			this.metrics.record('execution', performance.now() - beganAtMs, {route: request.route});
 			return {
-				status, headers, attachment: body, ...offer, load: this.load(),
+				status, headers, body, ...offer, load: this.load(),
 			};
 		} catch (error) {
 			const failure = toWireError(error);
@@ -192,7 +192,7 @@
 		return instance;
 	}
 
-	private prepare({requestId, method, target, headers, attachment}: RelayRequest, instance: InstanceReport, endsAtMs: number) {
+	private prepare({requestId, method, target, headers, body = new Uint8Array()}: RelayRequest, instance: InstanceReport, endsAtMs: number) {
 		const leftMs = Math.floor(endsAtMs - performance.now());
 		if (leftMs <= 0) {
 			throw new KumquatlineError(ErrorKind.DeadlineExceeded, 'the time was over before the request was sent', {started: false});
@@ -203,7 +203,7 @@
 			method,
 			target,
 			headers: [...headers, this.names.deadlineMs, String(leftMs), this.names.expectedInstance, instance.instanceId],
-			body: attachment ?? new Uint8Array(),
+			body,
 		};
 	}
 
--- a/src/services/relay/relay-reply.ts
+++ b/src/services/relay/relay-reply.ts
@@ -13,6 +13,6 @@
 	readonly load: UpstreamLoad;
 	/** Calls that the execution has made. */
 	readonly calls?: CallCounts;
-	/** Body of the answer, carried as bytes. */
-	readonly attachment?: Uint8Array;
+	/** Body of the answer. */
+	readonly body?: Uint8Array;
 };
--- a/src/services/relay/relay-request.ts
+++ b/src/services/relay/relay-request.ts
@@ -15,6 +15,5 @@
 	readonly hasWaited: boolean;
 	/** Whether a running request makes this call; what is paid for that one is lost if it fails. */
 	readonly isInner: boolean;
-	/** Body of the request, carried as bytes. */
-	readonly attachment?: Uint8Array;
+	readonly body?: Uint8Array;
 };
--- a/standins/backend-server/backend-server-options.ts
+++ b/standins/backend-server/backend-server-options.ts
@@ -15,5 +15,7 @@
 	readonly availabilityZone: string;
 	/** Sub-calls made at once for each request, as `METHOD /path`, or as `/served=METHOD /path` for requests of one path. */
 	readonly calls: readonly string[];
+	/** Least size of an answer's body; shorter ones are padded. */
+	readonly answerBytes?: number;
 	readonly seed: number;
 };
--- a/standins/backend-server/backend-server-stand-in.ts
+++ b/standins/backend-server/backend-server-stand-in.ts
@@ -234,7 +234,7 @@
 			target: record.target,
 			bodyDigest: createHash('sha256').update(body).digest('hex'),
 			subCalls: subCalls.map(({answer}) => answer),
-		});
+		}).padEnd(this.options.answerBytes ?? 0);
 		if (this.draw(this.faults.partialAnswer)) {
 			response.writeHead(record.status, {'content-length': content.length});
 			response.write(content.slice(0, content.length / 2));
--- a/standins/backend-server/main.ts
+++ b/standins/backend-server/main.ts
@@ -19,6 +19,7 @@
 		availabilityZone: option({long: 'zone', type: string, defaultValue: () => 'a'}),
 		calls: multioption({long: 'calls', type: array(string)}),
 		printHistory: flag({long: 'print-history', description: 'print a line of JSON when an execution begins and when it has ended'}),
+		answerBytes: option({long: 'answer-bytes', type: number, defaultValue: () => 0}),
 		seed: option({long: 'seed', type: number, defaultValue: () => 1}),
 	},
 	async handler(flags) {
