--- a/src/programs/cli/run-cli.ts
+++ b/src/programs/cli/run-cli.ts
@@ -2,6 +2,7 @@
 import {version} from '../node/version.js';
 import {CliError} from './cli-error.js';
 import {ExitStatus} from './exit-status.js';
+import {explainCommand} from './explain-command.js';
 import {nodesCommand} from './nodes-command.js';
 import {type Output} from './output.js';
 import {policyCommand} from './policy-command.js';
@@ -16,7 +17,9 @@
 	name: 'kumquatline',
 	version,
 	description: 'Operate a kumquatline mesh through any of its nodes',
-	cmds: {policy: policyCommand, nodes: nodesCommand, status: statusCommand},
+	cmds: {
+		policy: policyCommand, nodes: nodesCommand, status: statusCommand, explain: explainCommand,
+	},
 });
 
 /** Runs one command line and returns its exit status. */
--- a/src/programs/cli/test/run-cli.test.ts
+++ b/src/programs/cli/test/run-cli.test.ts
@@ -55,7 +55,7 @@
 const replaceTimeout = [{op: 'replace', path: '/operations/0/timeoutMs', value: 3000}];
 
 test('every command has a whole help text', async t => {
-	const commands = ['', 'nodes', 'status', 'policy', ...['init', 'show', 'validate', 'diff', 'patch', 'history', 'wait', 'restore'].map(name => `policy ${name}`)];
+	const commands = ['', 'nodes', 'status', 'explain', 'policy', ...['init', 'show', 'validate', 'diff', 'patch', 'history', 'wait', 'restore'].map(name => `policy ${name}`)];
 	for (const command of commands) {
 		const {stdout, status} = await run(...command.split(' ').filter(Boolean), '--help');
 		t.is(status, ExitStatus.Ok);
