Keep a node's part of the retry slack when others seem dead; one set of gone states

Cause, by reading: the slack was divided by the members not taken for dead, so that each side of a cut granted nearly all of it. Excluded: the share of the node's own requests, which does not depend on the others. Change: all members but those that left in a planned way share the slack. The set of gone states stood four times and stands once. Result: the new test fails before (members taken for dead) and passes after.

--- a/src/services/membership/failure-detector.ts
+++ b/src/services/membership/failure-detector.ts
@@ -8,6 +8,7 @@
 import {type GossipHost} from './gossip-host.js';
 import {type GossipMessage} from './gossip-message.js';
 import {GossipMessageKind} from './gossip-message-kind.js';
+import {goneStates} from './gone-states.js';
 import {type Member} from './member.js';
 import {MemberState} from './member-state.js';
 import {type MemberTable} from './member-table.js';
@@ -16,7 +17,6 @@
 /** Share of the interval that a direct probe has before other nodes are asked to try. */
 const directShare = 0.4;
 const indirectProbes = 3;
-const goneStates: ReadonlySet<MemberState> = new Set([MemberState.Dead, MemberState.Left]);
 /** Probe rounds that a suspect has to refute, per decimal digit of the number of members. */
 const suspicionRoundsPerDigit = 4;
 /** Chance at each round that a dead member is probed too, so that members find each other after a partition. */
--- a/src/services/membership/gossiper.ts
+++ b/src/services/membership/gossiper.ts
@@ -7,6 +7,7 @@
 import {type GossipHost} from './gossip-host.js';
 import {type GossipMessage} from './gossip-message.js';
 import {GossipMessageKind} from './gossip-message-kind.js';
+import {goneStates} from './gone-states.js';
 import {type Member} from './member.js';
 import {MemberState} from './member-state.js';
 import {type MemberTable} from './member-table.js';
@@ -21,7 +22,6 @@
 const backlogSize = 40;
 const idleWaitMs = 60_000;
 const unreachableStates: ReadonlySet<MemberState> = new Set([MemberState.Suspect, MemberState.Dead]);
-const goneStates: ReadonlySet<MemberState> = new Set([MemberState.Dead, MemberState.Left]);
 
 /** Spreads changes of members by infection: what is new to a node it passes on to a few others, a bounded number of times. */
 export class Gossiper implements Disposable {
--- a/src/services/membership/registration-reader.ts
+++ b/src/services/membership/registration-reader.ts
@@ -2,6 +2,7 @@
 import {DisposableStore} from '../../base/disposable-store.js';
 import {Waiter} from '../../base/waiter.js';
 import {type StoreService} from '../../runtime/store/store-service.js';
+import {goneStates} from './gone-states.js';
 import {type Member} from './member.js';
 import {MemberState} from './member-state.js';
 import {type MemberTable} from './member-table.js';
@@ -23,7 +24,6 @@
 /** A dead member is kept this long at least, so that late gossip does not bring it back. */
 const tombstoneMs = 60_000;
 const jitterShare = 0.3;
-const goneStates: ReadonlySet<MemberState> = new Set([MemberState.Dead, MemberState.Left]);
 
 type RegistrationHost = {
 	readonly self: Member;
--- a/src/services/relay/retry-budgets.ts
+++ b/src/services/relay/retry-budgets.ts
@@ -1,8 +1,8 @@
 import {type MetricsService} from '../../runtime/metrics/metrics-service.js';
 import {type RelaySettingsService} from '../../runtime/settings/relay-settings-service.js';
+import {MemberState} from '../membership/member-state.js';
 import {type MembershipService} from '../membership/membership-service.js';
 import {type CallGraphService} from './call-graph-service.js';
-import {goneStates} from './gone-states.js';
 import {type RelayRequest} from './relay-request.js';
 import {RetryBudget} from './retry-budget.js';
 
@@ -16,8 +16,8 @@
 	private readonly deeper = new Map<string, RetryBudget>();
 
 	constructor(
-		private readonly settings: RelaySettingsService,
-		private readonly membership: MembershipService,
+		private readonly settings: Pick<RelaySettingsService, 'relay'>,
+		private readonly membership: Pick<MembershipService, 'members'>,
 		private readonly callGraph: CallGraphService,
 		private readonly metrics: MetricsService,
 	) {}
@@ -46,6 +46,11 @@
 		return isGranted;
 	}
 
+	/** Nodes that share the slack. Those taken for dead may be alive on the other side of a cut, and use their part as well. */
+	private get sharingNodes(): number {
+		return this.membership.members.filter(({state}) => state !== MemberState.Left).length;
+	}
+
 	private budgetOf(budgets: Map<string, RetryBudget>, service: string, share: number): RetryBudget {
 		let budget = budgets.get(service);
 		if (!budget) {
@@ -54,7 +59,7 @@
 				return {
 					ratio: retryRatio, windowMs: retryWindowMs, slack: retrySlack, share,
 				};
-			}, () => this.membership.members.filter(({state}) => !goneStates.has(state)).length);
+			}, () => this.sharingNodes);
 			budgets.set(service, budget);
 		}
 
--- /dev/null
+++ b/src/services/relay/test/retry-budgets.test.ts
@@ -0,0 +1,35 @@
+import test from 'ava';
+import {SilentMetricsService} from '../../admission/test/silent-metrics-service.js';
+import {type Member} from '../../membership/member.js';
+import {MemberState} from '../../membership/member-state.js';
+import {type RelaySettings} from '../../../runtime/settings/relay-settings.js';
+import {type RelayRequest} from '../relay-request.js';
+import {LearnedCallGraphService} from '../learned-call-graph-service.js';
+import {RetryBudgets} from '../retry-budgets.js';
+
+const retrySlack = 48;
+const request: RelayRequest = {
+	requestId: 'r', route: 'read', service: 'catalogue', method: 'GET', target: '/', headers: [], idempotent: true, priority: 1, isInner: false, hasWaited: false,
+};
+
+/** Repetitions that a node grants without requests of its own, by the states of all members. */
+function granted(states: readonly MemberState[]): number {
+	const members = states.map((state): Partial<Member> => ({state}));
+	const relay: Partial<RelaySettings> = {retryRatio: 0.2, retryWindowMs: 10_000, retrySlack};
+	const budgets = new RetryBudgets({relay: relay as RelaySettings}, {members: members as Member[]}, new LearnedCallGraphService(), new SilentMetricsService());
+	let count = 0;
+	while (budgets.take(request)) {
+		count++;
+	}
+
+	return count;
+}
+
+test('all nodes together grant no more than the slack, also when each takes the others for dead', t => {
+	const besideThree = (state: MemberState) => granted([MemberState.Serving, state, state, state]);
+	for (const state of [MemberState.Serving, MemberState.Suspect, MemberState.Dead]) {
+		t.true(besideThree(state) * 4 <= retrySlack, `others are ${state}`);
+	}
+
+	t.true(besideThree(MemberState.Left) > besideThree(MemberState.Dead));
+});
