--- a/src/services/backend/test/instance-board.test.ts
+++ b/src/services/backend/test/instance-board.test.ts
@@ -44,6 +44,41 @@
 	board.dispose();
 });
 
+test.serial('a leaving that comes before any report holds against reports that were sent before it, not against a later boot', t => {
+	const clock = install({now: 1000});
+	t.teardown(() => {
+		clock.uninstall();
+	});
+	const board = openBoard();
+	board.leave('a');
+	clock.tick(2000);
+	board.report(report('a', 500, 7));
+	t.is(board.current, undefined);
+	board.report(report('a', 2500, 1));
+	t.like(board.current, {instanceId: 'a', bornAtMs: 2500});
+	board.dispose();
+});
+
+test.serial('a boot that was silent for long serves again from its next report on, unless it has left', t => {
+	const clock = install();
+	t.teardown(() => {
+		clock.uninstall();
+	});
+	const board = openBoard();
+	board.report(report('a', 100, 5));
+	clock.tick(7000);
+	t.is(board.current, undefined);
+	board.report(report('a', 100, 4));
+	t.is(board.current, undefined);
+	board.report(report('a', 100, 6));
+	t.like(board.current, {instanceId: 'a', sequence: 6});
+	clock.tick(7000);
+	board.leave('a');
+	board.report(report('a', 100, 7));
+	t.is(board.current, undefined);
+	board.dispose();
+});
+
 test.serial('a boot that reports no more counts as gone', t => {
 	const clock = install();
 	t.teardown(() => {
