Give backend servers a little less time than is left; refuse early where a node itself is late

Timings of each hop showed that score lookups (0.8 s on their route) end at 0.76 s in the median, their calls waiting 3 to 8 ms a hop. Excluded: writing frames together at the end of a turn of the event loop (1292, 1159 against 1273, 1216 us of processor time a request: no difference), queues at the ledger (0.1 ms in the median). Change: upstreams are told 30 ms less (a tenth at most); a 504 is not repeated. A node whose event loop is late all the time raises a threshold of its own, which also travels with replies as its service's.

--- a/src/services/relay/early-refusal.ts
+++ b/src/services/relay/early-refusal.ts
@@ -6,6 +6,7 @@
 import {rootShare} from '../admission/root-share.js';
 import {type MembershipService} from '../membership/membership-service.js';
 import {type CallGraphService} from './call-graph-service.js';
+import {type OwnLoadService} from './own-load-service.js';
 import {type RelayRequest} from './relay-request.js';
 import {rootIdOf} from './root-id-of.js';
 
@@ -24,6 +25,7 @@
 	constructor(
 		private readonly callGraph: CallGraphService,
 		private readonly membership: Pick<MembershipService, 'upstreams'>,
+		private readonly ownLoad: Pick<OwnLoadService, 'threshold'>,
 		private readonly log: LogService,
 		private readonly random: RandomGenerator,
 	) {}
@@ -51,6 +53,7 @@
 	private checkThresholds({requestId, route, service, priority, hasWaited}: RelayRequest): void {
 		const basis = Math.max(0, highestRank - priority) + (hasWaited ? waitedBonus : 0);
 		const share = rootShare(rootIdOf(requestId));
+		this.checkOwnLoad(requestId, route, basis + share);
 		for (const [name, calls] of [[service, 1] as const, ...this.callGraph.callsOf(route)]) {
 			const threshold = this.callGraph.thresholdOf(name);
 			// Of one rank, requests that need a service many times are refused before those that need it once.
@@ -64,6 +67,17 @@
 		}
 	}
 
+	/** Refuses while this node itself does not keep up: a refusal costs it a fraction of what passing a request on does. */
+	private checkOwnLoad(requestId: string, route: string, rank: number): void {
+		const {threshold} = this.ownLoad;
+		if (rank < threshold) {
+			this.log.info('refused early', {
+				id: requestId, route, ownThreshold: threshold, rank,
+			});
+			throw new KumquatlineError(ErrorKind.Overloaded, 'the node does not keep up and refuses work of this rank at present', {started: false, retryAfterMs: this.retryAfterMs()});
+		}
+	}
+
 	private retryAfterMs(): number {
 		return leastRetryMs + (retrySpreadMs * uniformFloat64(this.random));
 	}
--- a/src/services/relay/mesh-relay-service.ts
+++ b/src/services/relay/mesh-relay-service.ts
@@ -16,6 +16,7 @@
 import {goneStates} from '../membership/gone-states.js';
 import {CallGraphService} from './call-graph-service.js';
 import {EarlyRefusal} from './early-refusal.js';
+import {OwnLoadService} from './own-load-service.js';
 import {type RelayAnswer} from './relay-answer.js';
 import {relayMethod} from './relay-method.js';
 import {type RelayReply} from './relay-reply.js';
@@ -39,6 +40,8 @@
 const repeatedKinds: ReadonlySet<ErrorKind> = new Set([ErrorKind.PeerLost, ErrorKind.BackendFailed]);
 const okStatus = 200;
 const firstFailureStatus = 500;
+/** The backend server's word that the time is over, after which no other has time either. */
+const timeOverStatus = 504;
 
 /** How one upstream fared with a request. */
 type Attempt = {
@@ -65,10 +68,11 @@
 		@RunningRequests private readonly runningRequests: RunningRequests,
 		@MetricsService private readonly metrics: MetricsService,
 		@LogService private readonly log: LogService,
+		@OwnLoadService ownLoad: OwnLoadService,
 	) {
 		this.random = createRandom(settings.seed, `${settings.nodeId}/relay`);
 		this.budgets = new RetryBudgets(relaySettings, membership, callGraph, metrics);
-		this.earlyRefusal = new EarlyRefusal(callGraph, membership, log, this.random);
+		this.earlyRefusal = new EarlyRefusal(callGraph, membership, ownLoad, log, this.random);
 		this.chooser = new UpstreamChooser(membership, settings.availabilityZone, this.random);
 		this.subscription = membership.onDidChange(({nodeId, state}) => {
 			if (goneStates.has(state)) {
@@ -132,7 +136,7 @@
 
 		const isSafe = failure?.started === false
 			? reroutedKinds.has(failure.kind)
-			: request.idempotent && (answer ? answer.status >= firstFailureStatus : repeatedKinds.has(failure!.kind));
+			: request.idempotent && (answer ? isRepeated(answer.status) : repeatedKinds.has(failure!.kind));
 		if (!isSafe) {
 			return false;
 		}
@@ -188,6 +192,10 @@
 	}
 }
 
+function isRepeated(status: number): boolean {
+	return status >= firstFailureStatus && status !== timeOverStatus;
+}
+
 /** Whether an upstream has served well; a queue that was too long says nothing of its health. */
 function isSuccess(reply: RelayReply | undefined): boolean {
 	return reply?.failure ? reply.failure.kind === ErrorKind.Overloaded : (reply?.status ?? firstFailureStatus) < firstFailureStatus;
--- a/src/services/relay/relay-executor.ts
+++ b/src/services/relay/relay-executor.ts
@@ -19,6 +19,7 @@
 import {BackendBreaker} from './backend-breaker.js';
 import {type CallCounts, CallGraphService} from './call-graph-service.js';
 import {relayMethod} from './relay-method.js';
+import {OwnLoadService} from './own-load-service.js';
 import {type RelayReply} from './relay-reply.js';
 import {type RelayRequest} from './relay-request.js';
 import {rootIdOf} from './root-id-of.js';
@@ -28,6 +29,13 @@
 /** Share of the announced slots from which on a refusal counts as a sign of overload; below, the backend server refuses at random. */
 const fullShare = 0.85;
 
+/**
+By how much the backend server's time is shorter than the request's, and at most by which share of it: its own word that the
+time is over comes before the request is given up here, and spares its connection.
+*/
+const answerMarginMs = 30;
+const answerMarginShare = 0.1;
+
 type Offer = {
 	/** Whether the backend server was sent the request. */
 	offered: boolean;
@@ -55,6 +63,7 @@
 		@MetricsService private readonly metrics: MetricsService,
 		@LogService private readonly log: LogService,
 		@RunningRequests private readonly runningRequests: RunningRequests,
+		@OwnLoadService private readonly ownLoad: OwnLoadService,
 	) {
 		this.queue = new SlotQueue(() => this.limit.limit);
 		this.handlers.add(peers.handle(relayMethod, async (request, call) => this.reply(request, call)));
@@ -122,7 +131,7 @@
 		this.observe();
 		return {
 			inFlight: this.queue.running, limit: this.limit.limit, queued: this.queue.length, queueWaitMs: 0,
-			threshold: this.threshold.threshold,
+			threshold: Math.max(this.threshold.threshold, this.ownLoad.threshold),
 			heard: this.callGraph.heard,
 		};
 	}
@@ -194,7 +203,8 @@
 
 	private prepare({requestId, method, target, headers, body = new Uint8Array()}: RelayRequest, instance: InstanceReport, endsAtMs: number) {
 		const leftMs = Math.floor(endsAtMs - performance.now());
-		if (leftMs <= 0) {
+		const workMs = Math.floor(leftMs - Math.min(answerMarginMs, leftMs * answerMarginShare));
+		if (workMs <= 0) {
 			throw new KumquatlineError(ErrorKind.DeadlineExceeded, 'the time was over before the request was sent', {started: false});
 		}
 
@@ -202,7 +212,7 @@
 			requestId,
 			method,
 			target,
-			headers: [...headers, this.names.deadlineMs, String(leftMs), this.names.expectedInstance, instance.instanceId],
+			headers: [...headers, this.names.deadlineMs, String(workMs), this.names.expectedInstance, instance.instanceId],
 			body,
 		};
 	}
--- a/src/services/relay/test/early-refusal.test.ts
+++ b/src/services/relay/test/early-refusal.test.ts
@@ -10,13 +10,13 @@
 };
 const requests = 200;
 
-function openRefusal(threshold: number, upstreamCount = 1): EarlyRefusal {
+function openRefusal(threshold: number, upstreamCount = 1, ownThreshold = 0): EarlyRefusal {
 	const graph = new LearnedCallGraphService();
 	graph.noteCalls('heavy', {stock: 8}, true);
 	graph.noteCalls('unrelated', {}, true);
 	graph.noteThreshold('stock', threshold, []);
 	const known: Partial<Member> = {};
-	return new EarlyRefusal(graph, {upstreams: () => Array.from({length: upstreamCount}, () => known as Member)}, log, createRandom(1, 'test'));
+	return new EarlyRefusal(graph, {upstreams: () => Array.from({length: upstreamCount}, () => known as Member)}, {threshold: ownThreshold}, log, createRandom(1, 'test'));
 }
 
 function request(index: number, change: Partial<RelayRequest>): RelayRequest {
@@ -76,3 +76,10 @@
 	t.is(admitted(refusal, {isInner: true}), 1);
 	t.is(admitted(refusal, {route: 'unrelated'}), 1);
 });
+
+test('a node that does not keep up refuses what enters there, the least urgent first, but no calls of running requests', t => {
+	const refusal = openRefusal(0, 1, 1.5);
+	t.is(admitted(refusal, {priority: 2, route: 'unrelated'}), 0);
+	t.is(admitted(refusal, {priority: 0, route: 'unrelated'}), 1);
+	t.is(admitted(refusal, {priority: 2, isInner: true}), 1);
+});
