Refuse roots early where many of their like end late

Change: each entry node counts how many of its roots end late for every service that they need, and raises a threshold while more than a tenth do; it falls gently, and quickly once hardly any do.

--- a/src/services/relay/early-refusal.ts
+++ b/src/services/relay/early-refusal.ts
@@ -6,6 +6,7 @@
 import {rootShare} from '../admission/root-share.js';
 import {type MembershipService} from '../membership/membership-service.js';
 import {type CallGraphService} from './call-graph-service.js';
+import {LatenessThresholds} from './lateness-thresholds.js';
 import {type OwnLoadService} from './own-load-service.js';
 import {type RelayRequest} from './relay-request.js';
 import {rootIdOf} from './root-id-of.js';
@@ -22,6 +23,8 @@
 
 /** Refuses requests at their entry that a service on their way would refuse, before any work is done for them. */
 export class EarlyRefusal {
+	private readonly lateness = new LatenessThresholds();
+
 	constructor(
 		private readonly callGraph: CallGraphService,
 		private readonly membership: Pick<MembershipService, 'upstreams'>,
@@ -38,6 +41,13 @@
 		}
 	}
 
+	/** Notes that a request that was let in ended with an answer in time, or when its time was over. */
+	noteEnd({route, service, isInner}: RelayRequest, isLate: boolean): void {
+		if (!isInner) {
+			this.lateness.note([service, ...this.callGraph.callsOf(route).keys()], isLate);
+		}
+	}
+
 	/** Refuses a request that would fail midway, as nobody is there to answer a call that it makes each time. */
 	private checkUpstreams({requestId, route}: RelayRequest): void {
 		for (const [name, calls] of this.callGraph.callsOf(route)) {
@@ -55,12 +65,14 @@
 		const share = rootShare(rootIdOf(requestId));
 		this.checkOwnLoad(requestId, route, basis + share);
 		for (const [name, calls] of [[service, 1] as const, ...this.callGraph.callsOf(route)]) {
-			const threshold = this.callGraph.thresholdOf(name);
+			const queueThreshold = this.callGraph.thresholdOf(name);
+			const latenessThreshold = this.lateness.thresholdOf(name);
+			const threshold = Math.max(queueThreshold, latenessThreshold);
 			// Of one rank, requests that need a service many times are refused before those that need it once.
 			const rank = basis + (calls > 1 ? share / 2 : 0.5 + (share / 2));
 			if (rank < threshold) {
 				this.log.info('refused early', {
-					id: requestId, route, service: name, threshold, rank, hasWaited,
+					id: requestId, route, service: name, queueThreshold, latenessThreshold, rank, hasWaited,
 				});
 				throw new KumquatlineError(ErrorKind.Overloaded, `service ${name} refuses work of this rank at present`, {started: false, retryAfterMs: this.retryAfterMs()});
 			}
--- a/src/services/relay/mesh-relay-service.ts
+++ b/src/services/relay/mesh-relay-service.ts
@@ -106,6 +106,7 @@
 			this.earlyRefusal.check(request);
 			return await this.tryUpstreams(request, matched, endsAtMs, attempts, signal);
 		} finally {
+			this.noteLateness(request, attempts.at(-1));
 			this.logEnd(request, attempts);
 		}
 	}
@@ -176,6 +177,14 @@
 		this.callGraph.noteThreshold(service, this.chooser.thresholdOf(service), load.heard);
 	}
 
+	/** Tells early refusal of requests that ended well or too late; other failures say nothing of the load. */
+	private noteLateness(request: RelayRequest, last: Attempt | undefined): void {
+		const isLate = last?.answer?.status === timeOverStatus || (last?.failure?.kind === ErrorKind.DeadlineExceeded && last.offered);
+		if (isLate || (last?.answer && last.answer.status < firstFailureStatus)) {
+			this.earlyRefusal.noteEnd(request, isLate);
+		}
+	}
+
 	private logEnd({requestId, route, service, isInner}: RelayRequest, attempts: readonly Attempt[]): void {
 		const last = attempts.at(-1);
 		this.metrics.count('relayed', {route, outcome: last?.answer ? String(last.answer.status) : last?.failure?.kind ?? ErrorKind.NoUpstream});
