Pass no request on whose caller left before its connection was accepted

The runtime accepts one connection in each turn of its event loop; under load callers' new connections waited up to half a second, and a request and the end of its connection are read a turn apart, so that it was passed on first and cancelled then. Excluded: a loop that stands still (log lines of the node in each 50 ms around it), the way between nodes (4 ms). Change: before the first request of a connection is passed on, two turns of the loop pass in which the connection's end is read. Result: the new test fails before (requests run whose callers had left) and passes after; bad requests on half-closed connections are answered as before.

--- a/src/services/outbound/http-outbound-service.ts
+++ b/src/services/outbound/http-outbound-service.ts
@@ -2,6 +2,7 @@
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {type Duplex} from 'node:stream';
+import {setImmediate as nextTurn} from 'node:timers/promises';
 import {type Disposable} from '../../base/disposable.js';
 import {DisposableStore} from '../../base/disposable-store.js';
 import {ErrorKind} from '../../base/error-kind.js';
@@ -49,6 +50,8 @@
 
 	/** Connections with requests under way, and how many. */
 	private readonly running = new Map<Duplex, number>();
+	/** Connections whose first request has been read. */
+	private readonly begun = new WeakSet<Duplex>();
 	private readonly patience = new PatienceMemory();
 	private table: RouteTable | undefined;
 	private maxBodyBytes = Number.POSITIVE_INFINITY;
@@ -128,6 +131,7 @@
 		});
 		try {
 			const entered = await this.enter(message, enteredAtMs);
+			await this.checkCaller(message);
 			const answer = await this.relay.relay(entered, gone.signal);
 			this.write(response, message.method!, answer);
 			this.noteEnd(entered, answer.status, enteredAtMs);
@@ -136,6 +140,23 @@
 		}
 	}
 
+	/**
+	Throws `caller-gone` for the first request of a connection that its caller has left already: under load connections wait to be
+	accepted, one in each turn of the event loop, and their end is read a turn after the request.
+	*/
+	private async checkCaller({socket}: IncomingMessage): Promise<void> {
+		if (this.begun.has(socket)) {
+			return;
+		}
+
+		this.begun.add(socket);
+		await nextTurn();
+		await nextTurn();
+		if (socket.destroyed || socket.readableEnded) {
+			throw new KumquatlineError(ErrorKind.CallerGone, 'the caller left before its request was read', {started: false});
+		}
+	}
+
 	private async enter(message: IncomingMessage, enteredAtMs: number): Promise<EnteredRequest> {
 		const {table} = this;
 		if (!table) {
--- a/standins/platform/test/relay-node.test.ts
+++ b/standins/platform/test/relay-node.test.ts
@@ -92,6 +92,16 @@
 	t.is(catalogue.backend.peakRunning, 10);
 });
 
+test('requests whose callers left while their connections waited to be accepted are not run', async t => {
+	const {desk, catalogue} = await startPair(t);
+	const callers = 50;
+	const sockets = Array.from({length: callers}, (_, index) => connect(desk.node.ports.outbound, '127.0.0.1')
+		.end(`GET /read/x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: r${index}\r\nX-Deadline-Ms: 2000\r\n\r\n`));
+	await Promise.all(sockets.map(async socket => text(socket)));
+	t.like(await send(desk.node.ports.outbound, {host: 'a.example', path: '/read/x', id: 'last'}), {status: 200});
+	t.deepEqual(catalogue.backend.runs.map(({id}) => id), ['last']);
+});
+
 test('malformed reports are refused and harm nothing', async t => {
 	const {desk, catalogue} = await startPair(t);
 	const {control} = catalogue.node.ports;
