Write one line less for requests that are refused early; name their outcome in the counters

Cause: an early refusal wrote three lines, one of them a list of no attempts, and was counted as without upstream. Change: that line is of level debug; the counter says not-sent.

--- a/src/services/relay/mesh-relay-service.ts
+++ b/src/services/relay/mesh-relay-service.ts
@@ -39,6 +39,8 @@
 /** Failures after which an idempotent request may be sent again. */
 const repeatedKinds: ReadonlySet<ErrorKind> = new Set([ErrorKind.PeerLost, ErrorKind.BackendFailed]);
 const okStatus = 200;
+/** Outcome, in the counters, of requests for which no upstream was tried. */
+const notSent = 'not-sent';
 const firstFailureStatus = 500;
 /** The backend server's word that the time is over, after which no other has time either. */
 const timeOverStatus = 504;
@@ -187,9 +189,10 @@
 
 	private logEnd({requestId, route, service, isInner}: RelayRequest, attempts: readonly Attempt[]): void {
 		const last = attempts.at(-1);
-		this.metrics.count('relayed', {route, outcome: last?.answer ? String(last.answer.status) : last?.failure?.kind ?? ErrorKind.NoUpstream});
+		this.metrics.count('relayed', {route, outcome: String(last?.answer?.status ?? last?.failure?.kind ?? notSent)});
 		// Calls of running requests that went well at once are the bulk; they are told by their parents' lines and by the counters.
-		const isRoutine = isInner && attempts.length === 1 && last?.answer?.status === okStatus;
+		// What was sent nowhere is told by the line of its refusal.
+		const isRoutine = attempts.length === 0 || (isInner && attempts.length === 1 && last?.answer?.status === okStatus);
 		this.log[isRoutine ? 'debug' : 'info']('relayed', {
 			id: requestId,
 			route,
