--- a/src/programs/node/create-relay-kernel.ts
+++ b/src/programs/node/create-relay-kernel.ts
@@ -16,9 +16,7 @@
 import {CallGraphService} from '../../services/relay/call-graph-service.js';
 import {ChainThresholdService} from '../../services/relay/chain-threshold-service.js';
 import {LearnedCallGraphService} from '../../services/relay/learned-call-graph-service.js';
-import {LoopDelayService} from '../../services/relay/loop-delay-service.js';
 import {MeshRelayService} from '../../services/relay/mesh-relay-service.js';
-import {OwnLoadService} from '../../services/relay/own-load-service.js';
 import {RelayService} from '../../services/relay/relay-service.js';
 import {RunningRequestSet} from '../../services/relay/running-request-set.js';
 import {RunningRequests} from '../../services/relay/running-requests.js';
@@ -35,7 +33,6 @@
 		.register(RunningRequests, RunningRequestSet)
 		.register(CallGraphService, LearnedCallGraphService)
 		.register(ThresholdService, ChainThresholdService)
-		.register(OwnLoadService, LoopDelayService)
 		.register(RelayService, MeshRelayService)
 		.register(OutboundService, HttpOutboundService);
 }
--- a/src/services/relay/early-refusal.ts
+++ b/src/services/relay/early-refusal.ts
@@ -7,7 +7,6 @@
 import {type MembershipService} from '../membership/membership-service.js';
 import {type CallGraphService} from './call-graph-service.js';
 import {LatenessThresholds} from './lateness-thresholds.js';
-import {type OwnLoadService} from './own-load-service.js';
 import {type RelayRequest} from './relay-request.js';
 import {rootIdOf} from './root-id-of.js';
 
@@ -28,7 +27,6 @@
 	constructor(
 		private readonly callGraph: CallGraphService,
 		private readonly membership: Pick<MembershipService, 'upstreams'>,
-		private readonly ownLoad: Pick<OwnLoadService, 'threshold'>,
 		private readonly log: LogService,
 		private readonly random: RandomGenerator,
 	) {}
@@ -63,7 +61,6 @@
 	private checkThresholds({requestId, route, service, priority, hasWaited}: RelayRequest): void {
 		const basis = Math.max(0, highestRank - priority) + (hasWaited ? waitedBonus : 0);
 		const share = rootShare(rootIdOf(requestId));
-		this.checkOwnLoad(requestId, route, basis + share);
 		for (const [name, calls] of [[service, 1] as const, ...this.callGraph.callsOf(route)]) {
 			const queueThreshold = this.callGraph.thresholdOf(name);
 			const latenessThreshold = this.lateness.thresholdOf(name);
@@ -79,17 +76,6 @@
 		}
 	}
 
-	/** Refuses while this node itself does not keep up: a refusal costs it a fraction of what passing a request on does. */
-	private checkOwnLoad(requestId: string, route: string, rank: number): void {
-		const {threshold} = this.ownLoad;
-		if (rank < threshold) {
-			this.log.info('refused early', {
-				id: requestId, route, ownThreshold: threshold, rank,
-			});
-			throw new KumquatlineError(ErrorKind.Overloaded, 'the node does not keep up and refuses work of this rank at present', {started: false, retryAfterMs: this.retryAfterMs()});
-		}
-	}
-
 	private retryAfterMs(): number {
 		return leastRetryMs + (retrySpreadMs * uniformFloat64(this.random));
 	}
--- a/src/services/relay/mesh-relay-service.ts
+++ b/src/services/relay/mesh-relay-service.ts
@@ -16,7 +16,6 @@
 import {goneStates} from '../membership/gone-states.js';
 import {CallGraphService} from './call-graph-service.js';
 import {EarlyRefusal} from './early-refusal.js';
-import {OwnLoadService} from './own-load-service.js';
 import {type RelayAnswer} from './relay-answer.js';
 import {relayMethod} from './relay-method.js';
 import {type RelayReply} from './relay-reply.js';
@@ -70,11 +69,10 @@
 		@RunningRequests private readonly runningRequests: RunningRequests,
 		@MetricsService private readonly metrics: MetricsService,
 		@LogService private readonly log: LogService,
-		@OwnLoadService ownLoad: OwnLoadService,
 	) {
 		this.random = createRandom(settings.seed, `${settings.nodeId}/relay`);
 		this.budgets = new RetryBudgets(relaySettings, membership, callGraph, metrics);
-		this.earlyRefusal = new EarlyRefusal(callGraph, membership, ownLoad, log, this.random);
+		this.earlyRefusal = new EarlyRefusal(callGraph, membership, log, this.random);
 		this.chooser = new UpstreamChooser(membership, settings.availabilityZone, this.random);
 		this.subscription = membership.onDidChange(({nodeId, state}) => {
 			if (goneStates.has(state)) {
--- a/src/services/relay/relay-executor.ts
+++ b/src/services/relay/relay-executor.ts
@@ -19,7 +19,6 @@
 import {BackendBreaker} from './backend-breaker.js';
 import {type CallCounts, CallGraphService} from './call-graph-service.js';
 import {relayMethod} from './relay-method.js';
-import {OwnLoadService} from './own-load-service.js';
 import {type RelayReply} from './relay-reply.js';
 import {type RelayRequest} from './relay-request.js';
 import {rootIdOf} from './root-id-of.js';
@@ -63,7 +62,6 @@
 		@MetricsService private readonly metrics: MetricsService,
 		@LogService private readonly log: LogService,
 		@RunningRequests private readonly runningRequests: RunningRequests,
-		@OwnLoadService private readonly ownLoad: OwnLoadService,
 	) {
 		this.queue = new SlotQueue(() => this.limit.limit);
 		this.handlers.add(peers.handle(relayMethod, async (request, call) => this.reply(request, call)));
@@ -131,7 +129,7 @@
 		this.observe();
 		return {
 			inFlight: this.queue.running, limit: this.limit.limit, queued: this.queue.length, queueWaitMs: 0,
-			threshold: Math.max(this.threshold.threshold, this.ownLoad.threshold),
+			threshold: this.threshold.threshold,
 			heard: this.callGraph.heard,
 		};
 	}
