Count roots as late that fail when little of their time is left; a smaller margin a hop

Margins of 30 ms a hop took 120 ms of 800 from the deepest calls of a chain. Change: any failure after which less than a fifth of the time is left counts; the margin is 12 ms a hop.

--- a/src/services/relay/mesh-relay-service.ts
+++ b/src/services/relay/mesh-relay-service.ts
@@ -38,6 +38,8 @@
 /** Failures after which an idempotent request may be sent again. */
 const repeatedKinds: ReadonlySet<ErrorKind> = new Set([ErrorKind.PeerLost, ErrorKind.BackendFailed]);
 const okStatus = 200;
+/** Share of a request's time that may be left when it fails for want of time: calls deeper down run out of it somewhat earlier. */
+const lateShare = 0.2;
 /** Outcome, in the counters, of requests for which no upstream was tried. */
 const notSent = 'not-sent';
 const firstFailureStatus = 500;
@@ -87,6 +89,7 @@
 
 	async relay(entered: EnteredRequest, signal: AbortSignal): Promise<RelayAnswer> {
 		const {matched, endsAtMs, callerPriority, ...rest} = entered;
+		const timeMs = endsAtMs - performance.now();
 		const {service} = drawByWeight(matched.targets, ({weight}) => weight, this.random)!;
 		const request: RelayRequest = {
 			...rest,
@@ -106,7 +109,7 @@
 			this.earlyRefusal.check(request);
 			return await this.tryUpstreams(request, matched, endsAtMs, attempts, signal);
 		} finally {
-			this.noteLateness(request, attempts.at(-1));
+			this.noteLateness(request, attempts.at(-1), (endsAtMs - performance.now()) / timeMs);
 			this.logEnd(request, attempts);
 		}
 	}
@@ -177,10 +180,11 @@
 		this.callGraph.noteThreshold(service, this.chooser.thresholdOf(service), load.heard);
 	}
 
-	/** Tells early refusal of requests that ended well or too late; other failures say nothing of the load. */
-	private noteLateness(request: RelayRequest, last: Attempt | undefined): void {
-		const isLate = last?.answer?.status === timeOverStatus || (last?.failure?.kind === ErrorKind.DeadlineExceeded && last.offered);
-		if (isLate || (last?.answer && last.answer.status < firstFailureStatus)) {
+	/** Tells early refusal of requests that ended well or too late, as the share of their time shows that is left; other failures say nothing of the load. */
+	private noteLateness(request: RelayRequest, last: Attempt | undefined, leftShare: number): void {
+		const isServed = last?.answer !== undefined && last.answer.status < firstFailureStatus;
+		const isLate = !isServed && last?.offered === true && leftShare < lateShare;
+		if (isServed || isLate) {
 			this.earlyRefusal.noteEnd(request, isLate);
 		}
 	}
--- a/src/services/relay/relay-executor.ts
+++ b/src/services/relay/relay-executor.ts
@@ -30,9 +30,9 @@
 
 /**
 By how much the backend server's time is shorter than the request's, and at most by which share of it: its own word that the
-time is over comes before the request is given up here, and spares its connection.
+time is over comes before the request is given up here, and spares its connection. Each hop of a chain takes it once.
 */
-const answerMarginMs = 30;
+const answerMarginMs = 12;
 const answerMarginShare = 0.1;
 
 type Offer = {
--- a/standins/platform/test/relay-node.test.ts
+++ b/standins/platform/test/relay-node.test.ts
@@ -102,6 +102,26 @@
 	t.deepEqual(catalogue.backend.runs.map(({id}) => id), ['last']);
 });
 
+test('requests are refused early while most of their like run out of time, others are not', async t => {
+	const {desk, catalogue} = await startPair(t);
+	await catalogue.backend.report(catalogue.node.ports.control, {seq: 2, slots: 200});
+	catalogue.backend.workMs = 3000;
+	const statuses = new Set<number>();
+	let sent = 0;
+	await until(async () => {
+		const answers = await Promise.all(Array.from({length: 20}, async () => send(desk.node.ports.outbound, {host: 'a.example', path: '/read/x', id: `r${sent++}`})));
+		for (const {status} of answers) {
+			statuses.add(status);
+		}
+
+		return statuses.has(503);
+	});
+	t.deepEqual([...statuses].toSorted((left, right) => left - right), [503, 504]);
+	t.like(await send(desk.node.ports.outbound, {
+		host: 'a.example', path: '/charge/x', id: 'c', method: 'POST', body: 'pay',
+	}), {status: 200});
+});
+
 test('malformed reports are refused and harm nothing', async t => {
 	const {desk, catalogue} = await startPair(t);
 	const {control} = catalogue.node.ports;
