--- a/src/services/relay/slot-queue.ts
+++ b/src/services/relay/slot-queue.ts
@@ -64,14 +64,6 @@
 		return nowMs - oldestAtMs;
 	}
 
-	/** Time that work of this rank would wait if it came now. */
-	expectedWaitMs(work: QueuedWork): number {
-		const limit = Math.max(1, this.limit());
-		const ahead = this.findPlace(orderOf(work, performance.now()));
-		const surplus = this.runningCount + ahead + 1 - limit;
-		return Math.max(0, surplus) * this.meanRunMs / limit;
-	}
-
 	/** Resolves when the work may begin; rejects with `overloaded` or `deadline-exceeded`, and then it was not begun. */
 	async enter(work: QueuedWork, signal: AbortSignal): Promise<void> {
 		if (this.runningCount < this.limit() && this.waiting.length === 0) {
@@ -79,15 +71,16 @@
 			return;
 		}
 
-		const leftMs = work.endsAtMs - performance.now();
-		const waitMs = this.expectedWaitMs(work);
+		const enqueuedAtMs = performance.now();
+		const order = orderOf(work, enqueuedAtMs);
+		const leftMs = work.endsAtMs - enqueuedAtMs;
+		const waitMs = this.expectedWaitMs(order);
 		if (waitMs + (this.meanRunMs * leastTimeShare) > leftMs) {
 			throw new KumquatlineError(ErrorKind.Overloaded, 'the queue is too long for the time left', {started: false, retryAfterMs: waitMs});
 		}
 
-		const enqueuedAtMs = performance.now();
 		await this.wait({
-			...work, admitted: new Deferred<void>(), enqueuedAtMs, order: orderOf(work, enqueuedAtMs),
+			...work, admitted: new Deferred<void>(), enqueuedAtMs, order,
 		}, signal);
 	}
 
@@ -120,6 +113,13 @@
 		}
 	}
 
+	/** Time that work of this place in the queue will wait. */
+	private expectedWaitMs(order: number): number {
+		const limit = Math.max(1, this.limit());
+		const surplus = this.runningCount + this.findPlace(order) + 1 - limit;
+		return Math.max(0, surplus) * this.meanRunMs / limit;
+	}
+
 	private async wait(work: Waiting, signal: AbortSignal): Promise<void> {
 		const onAbort = () => {
 			const index = this.waiting.indexOf(work);
