Bound what a node holds of callers' bodies in all

Cause, by reading: each body was bounded, their sum was not; a few callers that send large bodies at once end a process of 350 MB. Change: bodies beyond 64 MiB in all are refused as not run; a single one is held however large the policy allows it to be.

--- a/src/runtime/http/read-body.ts
+++ b/src/runtime/http/read-body.ts
@@ -4,8 +4,10 @@
 import {ErrorKind} from '../../base/error-kind.js';
 import {KumquatlineError} from '../../base/kumquatline-error.js';
 
-/** Reads a request's body whole; throws `body-too-large`, or `caller-gone` when the rest never comes. */
-export async function readBody(message: IncomingMessage, maxBodyBytes: number): Promise<Uint8Array> {
+type OnBytes = (bytes: number) => void;
+
+/** Reads a request's body whole; throws `body-too-large`, `caller-gone` when the rest never comes, or what `onWillHold` throws of bytes that came. */
+export async function readBody(message: IncomingMessage, maxBodyBytes: number, onWillHold?: OnBytes): Promise<Uint8Array> {
 	if (message.headers['content-length'] === undefined && message.headers['transfer-encoding'] === undefined) {
 		message.resume();
 		return new Uint8Array();
@@ -15,10 +17,10 @@
 		throw tooLarge(maxBodyBytes);
 	}
 
-	return collect(message, maxBodyBytes);
+	return collect(message, maxBodyBytes, onWillHold);
 }
 
-async function collect(message: IncomingMessage, maxBodyBytes: number): Promise<Uint8Array> {
+async function collect(message: IncomingMessage, maxBodyBytes: number, onWillHold?: OnBytes): Promise<Uint8Array> {
 	const chunks: Uint8Array[] = [];
 	const whole = new Deferred<void>();
 	let sizeBytes = 0;
@@ -29,7 +31,13 @@
 			return;
 		}
 
-		chunks.push(chunk);
+		try {
+			onWillHold?.(chunk.length);
+			chunks.push(chunk);
+		} catch (error) {
+			whole.reject(error as Error);
+			message.pause();
+		}
 	});
 	message.once('end', whole.resolve);
 	message.once('error', error => {
--- a/src/services/outbound/http-outbound-service.ts
+++ b/src/services/outbound/http-outbound-service.ts
@@ -21,6 +21,8 @@
 import {RunningRequests} from '../relay/running-requests.js';
 import {RouteTable} from '../routes/route-table.js';
 import {answerMalformed} from '../callers/answer-malformed.js';
+import {BodyBudget} from './body-budget.js';
+import {type BodyShare} from './body-share.js';
 import {type OutboundService} from './outbound-service.js';
 import {PatienceMemory} from './patience-memory.js';
 import {statusOf, writeFailure} from './write-failure.js';
@@ -29,6 +31,8 @@
 const headCheckIntervalMs = 500;
 /** Largest head before a policy says more. */
 const firstMaxHeaderBytes = 16_384;
+/** Bodies held for callers in all: as much as the largest one allowed, as each is in memory several times on its way. */
+const maxHeldBytes = 67_108_864;
 /** Time after which a caller may ask a node that has no policy yet again. */
 const noPolicyRetryMs = 500;
 /** What the server's own errors mean; all others are malformed bytes. */
@@ -53,6 +57,7 @@
 	/** Connections whose first request has been read. */
 	private readonly begun = new WeakSet<Duplex>();
 	private readonly patience = new PatienceMemory();
+	private readonly bodies = new BodyBudget(maxHeldBytes);
 	private table: RouteTable | undefined;
 	private maxBodyBytes = Number.POSITIVE_INFINITY;
 	private isDraining = false;
@@ -129,14 +134,17 @@
 				gone.abort();
 			}
 		});
+		const bodyShare = this.bodies.open();
 		try {
-			const entered = await this.enter(message, enteredAtMs);
+			const entered = await this.enter(message, enteredAtMs, bodyShare);
 			await this.checkCaller(message);
 			const answer = await this.relay.relay(entered, gone.signal);
 			this.write(response, message.method!, answer);
 			this.noteEnd(entered, answer.status, enteredAtMs);
 		} catch (error) {
 			this.fail(message, response, error, enteredAtMs);
+		} finally {
+			bodyShare.dispose();
 		}
 	}
 
@@ -157,7 +165,7 @@
 		}
 	}
 
-	private async enter(message: IncomingMessage, enteredAtMs: number): Promise<EnteredRequest> {
+	private async enter(message: IncomingMessage, enteredAtMs: number, bodyShare: BodyShare): Promise<EnteredRequest> {
 		const {table} = this;
 		if (!table) {
 			throw new KumquatlineError(ErrorKind.PolicyUnknown, 'no policy is known yet', {started: false, retryAfterMs: noPolicyRetryMs});
@@ -177,7 +185,7 @@
 		const timeoutMs = patienceMs >= 0 ? Math.min(patienceMs, matched.timeoutMs) : matched.timeoutMs;
 		const endsAtMs = enteredAtMs + timeoutMs;
 		const callerPriority = this.runningRequests.callerPriority(requestId);
-		const body = await this.readBody(message, endsAtMs);
+		const body = await this.readBody(message, endsAtMs, bodyShare);
 		return {
 			requestId,
 			matched,
@@ -191,7 +199,7 @@
 		};
 	}
 
-	private async readBody(message: IncomingMessage, endsAtMs: number): Promise<Uint8Array | undefined> {
+	private async readBody(message: IncomingMessage, endsAtMs: number, bodyShare: BodyShare): Promise<Uint8Array | undefined> {
 		if (message.headers['content-length'] === undefined && message.headers['transfer-encoding'] === undefined) {
 			message.resume();
 			return undefined;
@@ -204,7 +212,9 @@
 			}, Math.max(0, endsAtMs - performance.now()));
 		});
 		try {
-			const body = await Promise.race([readBody(message, this.maxBodyBytes), late]);
+			const body = await Promise.race([readBody(message, this.maxBodyBytes, bytes => {
+				bodyShare.take(bytes);
+			}), late]);
 			return body.length === 0 ? undefined : body;
 		} finally {
 			clearTimeout(timer);
