Let the test of late roots depend on no pace of the machine

Change: both report in each round, and the wait ends with a refusal for overload. What it asks for stays: late roots before, a refusal then, another route served.

--- a/standins/platform/test/relay-node.test.ts
+++ b/standins/platform/test/relay-node.test.ts
@@ -106,17 +106,18 @@
 	const {desk, catalogue} = await startPair(t);
 	await catalogue.backend.report(catalogue.node.ports.control, {seq: 2, slots: 200});
 	catalogue.backend.workMs = 3000;
-	const statuses = new Set<number>();
+	let late = 0;
 	let sent = 0;
+	let seq = 2;
 	await until(async () => {
+		seq++;
+		await catalogue.backend.report(catalogue.node.ports.control, {seq, slots: 200});
+		await desk.backend.report(desk.node.ports.control, {seq});
 		const answers = await Promise.all(Array.from({length: 20}, async () => send(desk.node.ports.outbound, {host: 'a.example', path: '/read/x', id: `r${sent++}`})));
-		for (const {status} of answers) {
-			statuses.add(status);
-		}
-
-		return statuses.has(503);
+		late += answers.filter(({status}) => status === 504).length;
+		return answers.some(({status, body}) => status === 503 && body.includes('overloaded'));
 	});
-	t.deepEqual([...statuses].toSorted((left, right) => left - right), [503, 504]);
+	t.true(late > 0);
 	t.like(await send(desk.node.ports.outbound, {
 		host: 'a.example', path: '/charge/x', id: 'c', method: 'POST', body: 'pay',
 	}), {status: 200});
