Let tests of peers take no busy machine for a silent connection

Its peers were not ended, so that the run hung. Excluded: the change of attached bytes (the trace ends in the timer of the hello). Change: only the tests of silent connections use so short a silence; that test ends its peers whatever happens.

--- a/src/runtime/peer/test/framed-peer-service.test.ts
+++ b/src/runtime/peer/test/framed-peer-service.test.ts
@@ -35,6 +35,11 @@
 
 test('a repeated call id joins the call there is and later gets the same result', async t => {
 	const [left, other, right] = [await startPeer('left'), await startPeer('other'), await startPeer('right')];
+	t.teardown(() => {
+		for (const {kernel} of [left, other, right]) {
+			kernel.dispose();
+		}
+	});
 	const gate = new Deferred<void>();
 	let runs = 0;
 	right.peers.handle(echo, async ({text}) => {
@@ -48,9 +53,6 @@
 	gate.resolve();
 	t.deepEqual([await first, await second], [{text: 'x 1'}, {text: 'x 1'}]);
 	t.deepEqual(await left.peers.call(right.peers.self, echo, {text: 'x'}, options), {text: 'x 1'});
-	for (const {kernel} of [left, other, right]) {
-		kernel.dispose();
-	}
 });
 
 test('a cancelled call aborts at the peer', async t => {
--- a/src/runtime/peer/test/peer-fixture.ts
+++ b/src/runtime/peer/test/peer-fixture.ts
@@ -41,10 +41,22 @@
 	};
 }
 
+type PeerOptions = {
+	readonly incarnation?: string;
+	readonly peerPort?: number;
+	/** Silence after which connections are probed, and after which they are given up then; so long by default that a busy machine is not taken for it. */
+	readonly silenceMs?: number;
+};
+
 /** A kernel with a peer service that listens on loopback. */
-export async function startPeer(nodeId: string, incarnation = createUuid(), peerPort = 0) {
+export async function startPeer(nodeId: string, {incarnation = createUuid(), peerPort = 0, silenceMs = 10_000}: PeerOptions = {}) {
 	const kernel = new Kernel()
-		.registerInstance(SettingsService, {settings: {...testSettings(nodeId), peerPort}, incarnation})
+		.registerInstance(SettingsService, {
+			settings: {
+				...testSettings(nodeId), peerPort, probeAfterMs: silenceMs, abandonAfterMs: silenceMs,
+			},
+			incarnation,
+		})
 		.registerInstance(LogService, quietLog)
 		.register(MetricsService, StatsdMetricsService)
 		.register(PeerService, FramedPeerService);
--- a/standins/relay/test/silent-connections.test.ts
+++ b/standins/relay/test/silent-connections.test.ts
@@ -6,12 +6,14 @@
 import {RelayFault} from '../relay-fault.js';
 import {TcpRelay} from '../tcp-relay.js';
 
+const silenceMs = 100;
+
 const echo = new PeerMethod<{text: string}, {text: string}>('echo');
 const timeoutMs = 20_000;
 
 /** Two peers with a relay between them, and a gate before each result. */
 async function startRelayedPeers() {
-	const [left, right] = [await startPeer('left'), await startPeer('right')];
+	const [left, right] = [await startPeer('left', {silenceMs}), await startPeer('right', {silenceMs})];
 	const relay = new TcpRelay(right.peers.self.peerPort);
 	await relay.listen();
 	const gate = new Deferred<void>();
@@ -90,7 +92,7 @@
 	await began.promise;
 	const {peerPort} = right.peers.self;
 	right.kernel.dispose();
-	const next = await startPeer('right', 'next', peerPort);
+	const next = await startPeer('right', {incarnation: 'next', peerPort, silenceMs});
 	next.peers.handle(echo, async ({text}) => {
 		runs.push(text);
 		return {text};
