--- a/src/programs/node/relay-node.ts
+++ b/src/programs/node/relay-node.ts
@@ -16,7 +16,9 @@
 import {MembershipService} from '../../services/membership/membership-service.js';
 import {OutboundService} from '../../services/outbound/outbound-service.js';
 import {PolicyService} from '../../services/policy/policy-service.js';
+import {LoadLog} from '../../services/relay/load-log.js';
 import {RelayExecutor} from '../../services/relay/relay-executor.js';
+import {RelayService} from '../../services/relay/relay-service.js';
 import {version} from './version.js';
 
 /** Time in which other nodes may still send work to the backend server of a stopping node, which is without it only until the node is back. */
@@ -103,6 +105,7 @@
 	}
 
 	private wire(): void {
+		this.resources.add(new LoadLog(this.log, [this.executor, this.kernel.get(RelayService)]));
 		this.resources.add(this.kernel.get(InstanceService).onDidChange(instance => {
 			this.noteInstance(instance);
 		}));
--- a/src/services/relay/early-refusal.ts
+++ b/src/services/relay/early-refusal.ts
@@ -23,6 +23,8 @@
 /** Refuses requests at their entry that a service on their way would refuse, before any work is done for them. */
 export class EarlyRefusal {
 	private readonly lateness = new LatenessThresholds();
+	/** Services that requests have needed. */
+	private readonly services = new Set<string>();
 
 	constructor(
 		private readonly callGraph: CallGraphService,
@@ -46,6 +48,20 @@
 		}
 	}
 
+	/** Refusal thresholds of services that are above 0, by what raised them. */
+	reportThresholds(): Readonly<Record<string, {readonly queue: number; readonly lateness: number}>> {
+		const thresholds: Record<string, {queue: number; lateness: number}> = {};
+		for (const name of this.services) {
+			const queue = this.callGraph.thresholdOf(name);
+			const lateness = this.lateness.thresholdOf(name);
+			if (queue > 0 || lateness > 0) {
+				thresholds[name] = {queue, lateness};
+			}
+		}
+
+		return thresholds;
+	}
+
 	/** Refuses a request that would fail midway, as nobody is there to answer a call that it makes each time. */
 	private checkUpstreams({requestId, route}: RelayRequest): void {
 		for (const [name, calls] of this.callGraph.callsOf(route)) {
@@ -66,6 +82,7 @@
 			const latenessThreshold = this.lateness.thresholdOf(name);
 			const threshold = Math.max(queueThreshold, latenessThreshold);
 			// Of one rank, requests that need a service many times are refused before those that need it once.
+			this.services.add(name);
 			const rank = basis + (calls > 1 ? share / 2 : 0.5 + (share / 2));
 			if (rank < threshold) {
 				this.log.info('refused early', {
--- /dev/null
+++ b/src/services/relay/load-log.ts
@@ -0,0 +1,42 @@
+import process from 'node:process';
+import {type Disposable} from '../../base/disposable.js';
+import {type LogService} from '../../runtime/log/log-service.js';
+import {type LoadSource} from './load-source.js';
+
+/** Fine enough to see an overload begin and end, and one line in a thousand of what a busy node writes. */
+const intervalMs = 1000;
+const microsecondsPerMs = 1000;
+
+/** Logs once a second how loaded a node is and what it believes of others, while it has anything to do. */
+export class LoadLog implements Disposable {
+	private readonly timer: NodeJS.Timeout;
+	private dueAtMs = performance.now() + intervalMs;
+	private processor = process.cpuUsage();
+
+	constructor(private readonly log: LogService, private readonly sources: readonly LoadSource[]) {
+		this.timer = setInterval(() => {
+			this.write();
+		}, intervalMs).unref();
+	}
+
+	dispose(): void {
+		clearInterval(this.timer);
+	}
+
+	private write(): void {
+		const nowMs = performance.now();
+		const {user, system} = process.cpuUsage(this.processor);
+		this.processor = process.cpuUsage();
+		const reports = this.sources.map(source => source.reportLoad()).filter(report => report !== undefined);
+		if (reports.length > 0) {
+			this.log.info('load', {
+				// A late timer means that the event loop has more to do than it can.
+				timerLateMs: Math.round(nowMs - this.dueAtMs),
+				processorMs: Math.round((user + system) / microsecondsPerMs),
+				...Object.assign({}, ...reports) as Record<string, unknown>,
+			});
+		}
+
+		this.dueAtMs = nowMs + intervalMs;
+	}
+}
--- a/src/services/relay/mesh-relay-service.ts
+++ b/src/services/relay/mesh-relay-service.ts
@@ -5,6 +5,7 @@
 import {ErrorKind} from '../../base/error-kind.js';
 import {fromWireError} from '../../base/from-wire-error.js';
 import {KumquatlineError} from '../../base/kumquatline-error.js';
+import {Tally} from '../../base/tally.js';
 import {LogService} from '../../runtime/log/log-service.js';
 import {MetricsService} from '../../runtime/metrics/metrics-service.js';
 import {PeerService} from '../../runtime/peer/peer-service.js';
@@ -61,6 +62,9 @@
 	private readonly random;
 	private readonly chooser: UpstreamChooser;
 	private readonly subscription: Disposable;
+	/** Ends of requests since the last report, callers' own and calls of running requests. */
+	private readonly roots = new Tally();
+	private readonly calls = new Tally();
 
 	constructor(
 		@PeerService private readonly peers: PeerService,
@@ -76,7 +80,10 @@
 		this.budgets = new RetryBudgets(relaySettings, membership, callGraph, metrics);
 		this.earlyRefusal = new EarlyRefusal(callGraph, membership, log, this.random);
 		this.chooser = new UpstreamChooser(membership, settings.availabilityZone, this.random);
-		this.subscription = membership.onDidChange(({nodeId, state}) => {
+		this.subscription = membership.onDidChange(({nodeId, state, service, slots, revision}) => {
+			log.info('member changed', {
+				member: nodeId, state, service, slots, revision,
+			});
 			if (goneStates.has(state)) {
 				this.chooser.forget(nodeId);
 			}
@@ -114,6 +121,18 @@
 		}
 	}
 
+	reportLoad(): Readonly<Record<string, unknown>> | undefined {
+		const roots = this.roots.take();
+		const calls = this.calls.take();
+		if (Object.keys(roots).length === 0 && Object.keys(calls).length === 0) {
+			return undefined;
+		}
+
+		return {
+			roots, calls, thresholds: this.earlyRefusal.reportThresholds(), ...this.chooser.reportChoices(),
+		};
+	}
+
 	private async tryUpstreams(request: RelayRequest, matched: Route, endsAtMs: number, attempts: Attempt[], signal: AbortSignal): Promise<RelayAnswer> {
 		const tried = new Set<string>();
 		for (;;) {
@@ -191,7 +210,9 @@
 
 	private logEnd({requestId, route, service, isInner}: RelayRequest, attempts: readonly Attempt[]): void {
 		const last = attempts.at(-1);
-		this.metrics.count('relayed', {route, outcome: String(last?.answer?.status ?? last?.failure?.kind ?? notSent)});
+		const outcome = String(last?.answer?.status ?? last?.failure?.kind ?? notSent);
+		this.metrics.count('relayed', {route, outcome});
+		(isInner ? this.calls : this.roots).add(outcome);
 		// Calls of running requests that went well at once are the bulk; they are told by their parents' lines and by the counters.
 		// What was sent nowhere is told by the line of its refusal.
 		const isRoutine = attempts.length === 0 || (isInner && attempts.length === 1 && last?.answer?.status === okStatus);
--- a/src/services/relay/relay-executor.ts
+++ b/src/services/relay/relay-executor.ts
@@ -3,6 +3,7 @@
 import {Deferred} from '../../base/deferred.js';
 import {ErrorKind} from '../../base/error-kind.js';
 import {KumquatlineError} from '../../base/kumquatline-error.js';
+import {Tally} from '../../base/tally.js';
 import {toWireError} from '../../base/to-wire-error.js';
 import {HeaderNames} from '../../runtime/http/header-names.js';
 import {LogService} from '../../runtime/log/log-service.js';
@@ -18,6 +19,7 @@
 import {ExchangeService} from '../exchange/exchange-service.js';
 import {BackendBreaker} from './backend-breaker.js';
 import {type CallCounts, CallGraphService} from './call-graph-service.js';
+import {type LoadSource} from './load-source.js';
 import {relayMethod} from './relay-method.js';
 import {type RelayReply} from './relay-reply.js';
 import {type RelayRequest} from './relay-request.js';
@@ -43,13 +45,15 @@
 };
 
 /** Runs the requests that nodes send for the VM's own backend server; the only one that talks to it, and so the authority on it. */
-export class RelayExecutor implements Disposable {
+export class RelayExecutor implements Disposable, LoadSource {
 	private readonly handlers = new DisposableStore();
 	private readonly queue: SlotQueue;
 	private knownBootMs = 0;
 	private isLeaving = false;
 	private readonly breaker = new BackendBreaker();
 	private readonly idleWaiters: Array<Deferred<void>> = [];
+	/** Executions since the last report, by outcome. */
+	private readonly executions = new Tally();
 
 	constructor(
 		@PeerService peers: PeerService,
@@ -93,6 +97,24 @@
 		return waiter.promise;
 	}
 
+	reportLoad(): Readonly<Record<string, unknown>> | undefined {
+		const executions = this.executions.take();
+		if (Object.keys(executions).length === 0 && this.queue.running === 0) {
+			return undefined;
+		}
+
+		return {
+			executions,
+			slots: this.instances.current?.slots ?? 0,
+			limit: this.limit.limit,
+			running: this.queue.running,
+			waiting: this.queue.length,
+			oldestWaitMs: Math.round(this.queue.oldestWaitMs),
+			meanRunMs: Math.round(this.queue.meanMs),
+			threshold: this.threshold.threshold,
+		};
+	}
+
 	dispose(): void {
 		this.handlers.dispose();
 	}
@@ -103,6 +125,7 @@
 		try {
 			const {status, headers, body} = await this.execute(request, call, offer);
 			this.metrics.record('execution', performance.now() - beganAtMs, {route: request.route});
+			this.executions.add('answered');
 			return {
 				status, headers, body, ...offer, load: this.load(),
 			};
@@ -120,6 +143,7 @@
 
 	private logFailure({requestId, route}: RelayRequest, {from}: PeerCall, kind: ErrorKind, reason: string, elapsedMs: number, {offered}: Offer): void {
 		this.metrics.count('executions.failed', {route, kind});
+		this.executions.add(kind);
 		this.log.info('not executed', {
 			id: requestId, route, from: from.nodeId, kind, reason, offered, elapsedMs: Math.round(elapsedMs), running: this.queue.running, waiting: this.queue.length, limit: this.limit.limit,
 		});
--- a/src/services/relay/relay-service.ts
+++ b/src/services/relay/relay-service.ts
@@ -1,6 +1,7 @@
 import {createServiceId} from '../../runtime/kernel/create-service-id.js';
 import {type Route} from '../routes/route.js';
 import {type RelayAnswer} from './relay-answer.js';
+import {type LoadSource} from './load-source.js';
 import {type RelayRequest} from './relay-request.js';
 
 /** A request as the node that took it from its caller hands it on. */
@@ -14,7 +15,7 @@
 };
 
 /** Brings callers' requests to an upstream and whole answers back. */
-export interface RelayService {
+export interface RelayService extends LoadSource {
 	/** Throws errors whose `started` is false only where no upstream has begun the request or ever will. */
 	relay(request: EnteredRequest, signal: AbortSignal): Promise<RelayAnswer>;
 }
--- /dev/null
+++ b/src/services/relay/test/load-log.test.ts
@@ -0,0 +1,32 @@
+import {install} from '@sinonjs/fake-timers';
+import test from 'ava';
+import {type LogService} from '../../../runtime/log/log-service.js';
+import {LoadLog} from '../load-log.js';
+
+test.serial('a loaded node logs one line a second, an idle one none', t => {
+	const clock = install();
+	t.teardown(() => {
+		clock.uninstall();
+	});
+	const lines: unknown[] = [];
+	const log: LogService = {
+		debug() {/* Quiet. */},
+		info(message, fields) {
+			lines.push({message, ...fields});
+		},
+		warn() {/* Quiet. */},
+		error() {/* Quiet. */},
+	};
+	let running: number | undefined = 3;
+	const loadLog = new LoadLog(log, [{reportLoad: () => running === undefined ? undefined : {running}}, {reportLoad: () => undefined}]);
+	clock.tick(3000);
+	t.is(lines.length, 3);
+	t.like(lines[0], {message: 'load', running: 3, timerLateMs: 0});
+	running = undefined;
+	clock.tick(3000);
+	t.is(lines.length, 3);
+	loadLog.dispose();
+	running = 1;
+	clock.tick(3000);
+	t.is(lines.length, 3);
+});
--- a/src/services/relay/upstream-chooser.ts
+++ b/src/services/relay/upstream-chooser.ts
@@ -1,5 +1,6 @@
 import {type RandomGenerator} from 'pure-rand/types/RandomGenerator';
 import {drawByWeight} from '../../base/draw-by-weight.js';
+import {Tally} from '../../base/tally.js';
 import {type UpstreamLoad} from '../admission/upstream-load.js';
 import {type Member} from '../membership/member.js';
 import {type MembershipService} from '../membership/membership-service.js';
@@ -37,6 +38,8 @@
 /** Chooses the upstream of a service with the least expected time, in the own availability zone while that has room. */
 export class UpstreamChooser {
 	private readonly records = new Map<string, KnownUpstream>();
+	/** Choices since the last report, those without a load that still counts, and the ages of all loads that counted. */
+	private readonly choices = new Tally();
 
 	constructor(
 		private readonly membership: MembershipService,
@@ -51,6 +54,7 @@
 		const member = near.some(candidate => this.hasRoom(candidate)) ? this.pick(near) : this.pickAnywhere(candidates, near);
 		if (member) {
 			const record = this.recordOf(member);
+			this.noteChoice(record);
 			record.inFlight++;
 			record.begunSinceHeard++;
 		}
@@ -85,6 +89,12 @@
 		return total === 0 ? 0 : weighted / total;
 	}
 
+	/** How many choices were made, how many of them without a recent load, and the mean age of the loads behind the others. */
+	reportChoices(): Readonly<Record<string, number>> {
+		const {choices = 0, blindChoices = 0, loadAgeMs = 0} = this.choices.take();
+		return {choices, blindChoices, meanLoadAgeMs: Math.round(loadAgeMs / Math.max(1, choices - blindChoices))};
+	}
+
 	/** Drops what is known of members that are gone. */
 	forget(nodeId: string): void {
 		if (this.records.get(nodeId)?.inFlight === 0) {
@@ -92,6 +102,16 @@
 		}
 	}
 
+	private noteChoice({load, heardAtMs}: KnownUpstream): void {
+		const ageMs = performance.now() - heardAtMs;
+		this.choices.add('choices');
+		if (load && ageMs < loadLifetimeMs) {
+			this.choices.add('loadAgeMs', ageMs);
+		} else {
+			this.choices.add('blindChoices');
+		}
+	}
+
 	/** The best of all zones if it is clearly better than the best of the own: when all are full the way to another zone is in vain. */
 	private pickAnywhere(candidates: readonly Member[], near: readonly Member[]): Member | undefined {
 		const best = this.pick(candidates);
