--- /dev/null
+++ b/standins/modelled-graph/model-backend.ts
@@ -0,0 +1,78 @@
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {type RandomGenerator} from 'pure-rand/types/RandomGenerator';
+import {ErrorKind} from '../../src/base/error-kind.js';
+import {KumquatlineError} from '../../src/base/kumquatline-error.js';
+import {type ExchangeAnswer} from '../../src/services/exchange/exchange-answer.js';
+import {type ExchangeRequest} from '../../src/services/exchange/exchange-request.js';
+import {type ExchangeService} from '../../src/services/exchange/exchange-service.js';
+import {type ModelRoute} from './model-route.js';
+
+type BackendOptions = {
+	readonly slots: number;
+	readonly speed: number;
+	readonly random: RandomGenerator;
+	/** Sends a call of a running request; returns whether it was served. */
+	readonly call: (routeName: string, requestId: string, endsAtMs: number, signal: AbortSignal) => Promise<boolean>;
+};
+
+const okStatus = 200;
+const failedStatus = 500;
+const timeOverStatus = 504;
+
+/** A backend server of a model: a slot for each run, held while the run's calls are under way. */
+export class ModelBackend implements ExchangeService {
+	/** Slot time used since it was last set to 0. */
+	busyMs = 0;
+	running = 0;
+	/** Share of what it is sent that it refuses, whatever its load. */
+	refusedShare = 0;
+
+	constructor(private readonly routes: ReadonlyMap<string, ModelRoute>, private readonly options: BackendOptions) {}
+
+	async exchange({requestId, target, headers}: ExchangeRequest, signal: AbortSignal): Promise<ExchangeAnswer> {
+		const deadlineMs = Number(headers[headers.indexOf('deadline') + 1]);
+		const endsAtMs = performance.now() + deadlineMs;
+		if (this.running >= this.options.slots || uniformFloat64(this.options.random) < this.refusedShare) {
+			throw new KumquatlineError(ErrorKind.BackendShed, 'refused', {started: false});
+		}
+
+		this.running++;
+		const beganAtMs = performance.now();
+		try {
+			return {status: await this.run(this.routes.get(target)!, requestId, endsAtMs, signal), headers: [], body: new Uint8Array()};
+		} finally {
+			this.running--;
+			this.busyMs += performance.now() - beganAtMs;
+		}
+	}
+
+	private async run({workMs, calls}: ModelRoute, requestId: string, endsAtMs: number, signal: AbortSignal): Promise<number> {
+		const {speed, random} = this.options;
+		// Work times spread evenly from half to one and a half of their mean.
+		if (!await this.work(workMs / speed * (0.5 + uniformFloat64(random)), endsAtMs, signal)) {
+			return timeOverStatus;
+		}
+
+		for (const [index, name] of calls.entries()) {
+			if (!await this.options.call(name, `${requestId}.${index}`, endsAtMs, signal)) {
+				return performance.now() >= endsAtMs ? timeOverStatus : failedStatus;
+			}
+		}
+
+		return okStatus;
+	}
+
+	/** Works for a time; false when the time of the request was over first. */
+	private async work(workMs: number, endsAtMs: number, signal: AbortSignal): Promise<boolean> {
+		const leftMs = endsAtMs - performance.now();
+		return new Promise((resolve, reject) => {
+			const timer = setTimeout(() => {
+				resolve(workMs <= leftMs);
+			}, Math.max(0, Math.min(workMs, leftMs)));
+			signal.addEventListener('abort', () => {
+				clearTimeout(timer);
+				reject(new KumquatlineError(ErrorKind.BackendFailed, 'given up'));
+			}, {once: true});
+		});
+	}
+}
--- /dev/null
+++ b/standins/modelled-graph/model-node.ts
@@ -0,0 +1,170 @@
+import {createRandom} from '../../src/base/create-random.js';
+import {Emitter} from '../../src/base/emitter.js';
+import {KumquatlineError} from '../../src/base/kumquatline-error.js';
+import {type HeaderNames} from '../../src/runtime/http/header-names.js';
+import {type LogService} from '../../src/runtime/log/log-service.js';
+import {type MetricsService} from '../../src/runtime/metrics/metrics-service.js';
+import {testSettings} from '../../src/runtime/peer/test/peer-fixture.js';
+import {FixedSettingsService} from '../../src/runtime/settings/fixed-settings-service.js';
+import {type RelaySettings} from '../../src/runtime/settings/relay-settings.js';
+import {type RelaySettingsService} from '../../src/runtime/settings/relay-settings-service.js';
+import {ShedLimitService} from '../../src/services/admission/shed-limit-service.js';
+import {type InstanceService} from '../../src/services/backend/instance-service.js';
+import {type Member} from '../../src/services/membership/member.js';
+import {MemberState} from '../../src/services/membership/member-state.js';
+import {type MembershipService} from '../../src/services/membership/membership-service.js';
+import {ChainThresholdService} from '../../src/services/relay/chain-threshold-service.js';
+import {LearnedCallGraphService} from '../../src/services/relay/learned-call-graph-service.js';
+import {MeshRelayService} from '../../src/services/relay/mesh-relay-service.js';
+import {RelayExecutor} from '../../src/services/relay/relay-executor.js';
+import {RunningRequestSet} from '../../src/services/relay/running-request-set.js';
+import {ModelBackend} from './model-backend.js';
+import {ModelPeers} from './model-peers.js';
+import {type ModelRoute} from './model-route.js';
+
+const names: HeaderNames = {
+	requestId: 'id', deadlineMs: 'deadline', signature: 'signature', expectedInstance: 'expected', notRun: 'not-run', caller: 'caller',
+};
+const quietLog: LogService = {
+	debug() {/* Quiet. */}, info() {/* Quiet. */}, warn() {/* Quiet. */}, error() {/* Quiet. */},
+};
+const quietMetrics = {count() {/* Quiet. */}, record() {/* Quiet. */}} as unknown as MetricsService;
+const okStatus = 200;
+
+/** What the nodes of one model share. */
+export type ModelSurroundings = {
+	readonly routes: ReadonlyMap<string, ModelRoute>;
+	readonly members: Map<string, Member>;
+	readonly peers: Map<string, ModelPeers>;
+	readonly onDidChange: Emitter<Member>;
+	/** Processor time that a node spends on each message. */
+	readonly messageMs: number;
+	readonly seed: number;
+};
+
+type NodeOptions = {
+	readonly name: string;
+	readonly zone: string;
+	readonly service: string;
+	readonly slots: number;
+	readonly speed: number;
+};
+
+/** How a request of a caller ended. */
+export type ModelOutcome = {
+	readonly served: boolean;
+	/** Time to come back after, where the request has not run. */
+	readonly retryAfterMs?: number;
+};
+
+/** A node with its real decisions: choice of upstream, early refusal, queue, limits and retries; only its connections are modelled. */
+export class ModelNode {
+	readonly backend: ModelBackend;
+	private readonly relay: MeshRelayService;
+	private readonly running = new RunningRequestSet();
+	private processorFreeAtMs = 0;
+
+	constructor(private readonly options: NodeOptions, private readonly surroundings: ModelSurroundings) {
+		const {name, zone, service, slots, speed} = options;
+		const {routes, members, peers, seed} = surroundings;
+		const random = createRandom(seed, `${name}/backend`);
+		this.backend = new ModelBackend(routes, {
+			slots, speed, random, call: async (route, id, endsAtMs, signal) => {
+				const {served} = await this.send(route, id, endsAtMs - performance.now(), signal);
+				return served;
+			},
+		});
+		const known: Partial<Member> = {
+			...address(name), availabilityZone: zone, state: MemberState.Serving, service, slots,
+		};
+		const self = known as Member;
+		members.set(name, self);
+		const ownPeers = new ModelPeers(self, peers, async () => this.spendProcessor());
+		peers.set(name, ownPeers);
+		this.relay = this.createRelay(ownPeers);
+	}
+
+	reportLoad(): unknown {
+		return this.relay.reportLoad();
+	}
+
+	/** Takes a request as from a caller or the own backend server. */
+	async send(routeName: string, requestId: string, patienceMs: number, signal: AbortSignal, hasWaited = false): Promise<ModelOutcome> {
+		const {name, service, timeoutMs, priority, idempotent} = this.surroundings.routes.get(routeName)!;
+		const endsAtMs = performance.now() + Math.min(patienceMs, timeoutMs);
+		await this.spendProcessor();
+		try {
+			const {status} = await this.relay.relay({
+				matched: {
+					name, host: 'model', prefix: '/', idempotent, timeoutMs, objectiveMs: timeoutMs, priority, maxUpstreams: 2, targets: [{service, weight: 1}],
+				},
+				requestId,
+				method: 'GET',
+				target: routeName,
+				headers: [],
+				hasWaited,
+				callerPriority: this.running.callerPriority(requestId),
+				endsAtMs,
+			}, signal);
+			return {served: status === okStatus};
+		} catch (error) {
+			return {served: false, retryAfterMs: error instanceof KumquatlineError && error.started === false ? error.retryAfterMs : undefined};
+		}
+	}
+
+	/** The backend server leaves for good. */
+	leave(): void {
+		const {members, onDidChange} = this.surroundings;
+		const left = {...members.get(this.options.name)!, state: MemberState.Left};
+		members.set(this.options.name, left);
+		onDidChange.fire(left);
+	}
+
+	private createRelay(peers: ModelPeers): MeshRelayService {
+		const {name, zone, service, slots} = this.options;
+		const settings = new FixedSettingsService({...testSettings(name), availabilityZone: zone, seed: this.surroundings.seed});
+		const callGraph = new LearnedCallGraphService();
+		const limit = new ShedLimitService();
+		const instances: Partial<InstanceService> = {
+			current: {
+				instanceId: name, bornAtMs: 1, sequence: 1, service, slots, draining: false, coldLeftMs: 0,
+			},
+		};
+		const executor = new RelayExecutor(peers, instances as InstanceService, limit, new ChainThresholdService(), callGraph, this.backend, names, quietMetrics, quietLog, this.running);
+		executor.noteInstance(instances.current);
+		const relay: Partial<RelaySettings> = {retryRatio: 0.2, retryWindowMs: 10_000, retrySlack: 48};
+		const relaySettings: RelaySettingsService = {relay: relay as RelaySettings, onDidChange: new Emitter<RelaySettings>().event};
+		return new MeshRelayService(peers, this.createMembership(), relaySettings, settings, callGraph, this.running, quietMetrics, quietLog);
+	}
+
+	private createMembership(): MembershipService {
+		const {members, onDidChange} = this.surroundings;
+		return {
+			get members() {
+				return [...members.values()];
+			},
+			onDidChange: onDidChange.event,
+			upstreams: (service: string) => [...members.values()].filter(member => member.state === MemberState.Serving && member.service === service),
+		} as unknown as MembershipService;
+	}
+
+	/** Waits for the node's processor and uses it for one message. */
+	private async spendProcessor(): Promise<void> {
+		const {messageMs} = this.surroundings;
+		if (messageMs === 0) {
+			return;
+		}
+
+		const nowMs = performance.now();
+		this.processorFreeAtMs = Math.max(nowMs, this.processorFreeAtMs) + messageMs;
+		await new Promise<void>(resolve => {
+			setTimeout(resolve, this.processorFreeAtMs - nowMs);
+		});
+	}
+}
+
+function address(nodeId: string) {
+	return {
+		nodeId, incarnation: nodeId, address: nodeId, peerPort: 1,
+	};
+}
--- /dev/null
+++ b/standins/modelled-graph/model-peers.ts
@@ -0,0 +1,87 @@
+import {ErrorKind} from '../../src/base/error-kind.js';
+import {KumquatlineError} from '../../src/base/kumquatline-error.js';
+import {toDisposable} from '../../src/base/to-disposable.js';
+import {type Disposable} from '../../src/base/disposable.js';
+import {type PeerAddress} from '../../src/runtime/peer/peer-address.js';
+import {type PeerMethod} from '../../src/runtime/peer/peer-method.js';
+import {type PeerCall, type PeerCallOptions, type PeerService} from '../../src/runtime/peer/peer-service.js';
+
+type Handler = (params: unknown, call: PeerCall) => Promise<unknown>;
+
+/** One way between two nodes. */
+const transitMs = 0.5;
+
+/** Carries calls between the nodes of a model, each with a transit time. */
+export class ModelPeers implements PeerService {
+	private handler: Handler | undefined;
+
+	constructor(readonly self: PeerAddress, private readonly all: ReadonlyMap<string, ModelPeers>, private readonly processor: () => Promise<void>) {}
+
+	async listen(): Promise<void> {
+		// Nothing is opened.
+	}
+
+	async close(): Promise<void> {
+		// Nothing is open.
+	}
+
+	handle<P, R>(_method: PeerMethod<P, R>, handler: (params: P, call: PeerCall) => Promise<R>): Disposable {
+		this.handler = handler as Handler;
+		return toDisposable(() => {
+			this.handler = undefined;
+		});
+	}
+
+	async call<P, R>(peer: PeerAddress, _method: PeerMethod<P, R>, params: P, {callId = '', timeoutMs, signal}: PeerCallOptions): Promise<R> {
+		const controller = new AbortController();
+		return new Promise<R>((resolve, reject) => {
+			const fail = (kind: ErrorKind) => {
+				const error = new KumquatlineError(kind, 'the call was given up');
+				controller.abort(error);
+				reject(error);
+			};
+
+			const timer = setTimeout(() => {
+				fail(ErrorKind.DeadlineExceeded);
+			}, timeoutMs);
+			const onAbort = () => {
+				fail(ErrorKind.CallerGone);
+			};
+
+			signal?.addEventListener('abort', onAbort, {once: true});
+			const settle = (end: () => void) => {
+				setTimeout(async () => {
+					await this.processor();
+					clearTimeout(timer);
+					signal?.removeEventListener('abort', onAbort);
+					end();
+				}, transitMs);
+			};
+
+			setTimeout(async () => {
+				try {
+					const result = await this.all.get(peer.nodeId)!.receive(params, {
+						from: this.self, callId, timeoutMs: timeoutMs - transitMs, signal: controller.signal,
+					});
+					settle(() => {
+						resolve(result as R);
+					});
+				} catch (error) {
+					const failure = error instanceof KumquatlineError ? error : new KumquatlineError(ErrorKind.Internal, String(error));
+					settle(() => {
+						reject(failure);
+					});
+				}
+			}, transitMs);
+		});
+	}
+
+	private async receive(params: unknown, call: PeerCall): Promise<unknown> {
+		await this.processor();
+		if (!this.handler) {
+			throw new KumquatlineError(ErrorKind.PeerUnreachable, 'no such node', {started: false});
+		}
+
+		return this.handler(params, call);
+	}
+}
