Refuse a share of the work, not ranks below a threshold

Cause: open-loop control with a delay. The lateness threshold was raised by outcomes of roots that had entered before it was last raised; it was a rank, and between the ranks of the classes lie gaps in which it moves for seconds without any effect; an interval with one to seven outcomes lowered nothing. The upstream's threshold followed the length of its queue, which integrates what the threshold causes a second later, so the two swung.

Now each entry admits a share of the work for a service, most urgent first by the demand it has seen (DemandByRank). Roots that entered before a reduction cause no further one, and the share grows with time (AdmittedShare). Upstreams report the share by the work that arrives in relation to their slots (OfferedWork).

Wider swings of the queue order by root helped in the first seconds but put bookings behind lookups, so the order stays.

--- a/src/programs/node/create-relay-kernel.ts
+++ b/src/programs/node/create-relay-kernel.ts
@@ -5,7 +5,6 @@
 import {ManifestPolicyService} from '../../platform/manifest/manifest-policy-service.js';
 import {PlatformSettingsService} from '../../platform/settings/platform-settings-service.js';
 import {type PlatformSettings} from '../../platform/settings/read-settings.js';
-import {ThresholdService} from '../../services/admission/threshold-service.js';
 import {InstanceBoard} from '../../services/backend/instance-board.js';
 import {InstanceService} from '../../services/backend/instance-service.js';
 import {ExchangeService} from '../../services/exchange/exchange-service.js';
@@ -14,7 +13,6 @@
 import {OutboundService} from '../../services/outbound/outbound-service.js';
 import {PolicyService} from '../../services/policy/policy-service.js';
 import {CallGraphService} from '../../services/relay/call-graph-service.js';
-import {ChainThresholdService} from '../../services/relay/chain-threshold-service.js';
 import {LearnedCallGraphService} from '../../services/relay/learned-call-graph-service.js';
 import {MeshRelayService} from '../../services/relay/mesh-relay-service.js';
 import {RelayService} from '../../services/relay/relay-service.js';
@@ -32,7 +30,6 @@
 		.register(ExchangeService, PooledExchangeService)
 		.register(RunningRequests, RunningRequestSet)
 		.register(CallGraphService, LearnedCallGraphService)
-		.register(ThresholdService, ChainThresholdService)
 		.register(RelayService, MeshRelayService)
 		.register(OutboundService, HttpOutboundService);
 }
--- a/src/services/relay/mesh-relay-service.ts
+++ b/src/services/relay/mesh-relay-service.ts
@@ -96,7 +96,8 @@
 
 	async relay(entered: EnteredRequest, signal: AbortSignal): Promise<RelayAnswer> {
 		const {matched, endsAtMs, callerPriority, ...rest} = entered;
-		const timeMs = endsAtMs - performance.now();
+		const enteredAtMs = performance.now();
+		const timeMs = endsAtMs - enteredAtMs;
 		const {service} = drawByWeight(matched.targets, ({weight}) => weight, this.random)!;
 		const request: RelayRequest = {
 			...rest,
@@ -116,7 +117,7 @@
 			this.earlyRefusal.check(request);
 			return await this.tryUpstreams(request, matched, endsAtMs, attempts, signal);
 		} finally {
-			this.noteLateness(request, attempts.at(-1), (endsAtMs - performance.now()) / timeMs);
+			this.noteLateness(request, attempts.at(-1), {enteredAtMs, leftShare: (endsAtMs - performance.now()) / timeMs});
 			this.logEnd(request, attempts);
 		}
 	}
@@ -129,7 +130,7 @@
 		}
 
 		return {
-			roots, calls, thresholds: this.earlyRefusal.reportThresholds(), ...this.chooser.reportChoices(),
+			roots, calls, admittedShares: this.earlyRefusal.reportShares(), ...this.chooser.reportChoices(),
 		};
 	}
 
@@ -200,11 +201,11 @@
 	}
 
 	/** Tells early refusal of requests that ended well or too late, as the share of their time shows that is left; other failures say nothing of the load. */
-	private noteLateness(request: RelayRequest, last: Attempt | undefined, leftShare: number): void {
+	private noteLateness(request: RelayRequest, last: Attempt | undefined, {enteredAtMs, leftShare}: {readonly enteredAtMs: number; readonly leftShare: number}): void {
 		const isServed = last?.answer !== undefined && last.answer.status < firstFailureStatus;
 		const isLate = !isServed && last?.offered === true && leftShare < lateShare;
 		if (isServed || isLate) {
-			this.earlyRefusal.noteEnd(request, isLate);
+			this.earlyRefusal.noteOutcome(request, isLate, enteredAtMs);
 		}
 	}
 
--- /dev/null
+++ b/src/services/relay/offered-work.ts
@@ -0,0 +1,75 @@
+/** How the queue of a backend server stands. */
+type QueueState = {
+	readonly limit: number;
+	readonly waiting: number;
+	readonly meanRunMs: number;
+};
+
+/** Time over which arrivals are counted: some dozens of them at a service that is nearly full. */
+const intervalMs = 100;
+/** Utilisation aimed at: service times rise above, and bursts need some room. */
+const targetUtilisation = 0.92;
+/** Time in which a queue is to be gone. */
+const drainMs = 500;
+/** Weight of the latest interval in the offered utilisation. */
+const latestWeight = 0.4;
+/**
+Change of the share's logarithm in a second, for an offered utilisation that is off by a factor of e. A root that is admitted shows in
+arrivals after up to a second in deep chains; twice the gain would make the share swing.
+*/
+const gainPerSecond = 1;
+/** Bounds of the factor that offered and aimed-at utilisation are taken to differ by, as a logarithm. */
+const maxError = 1.5;
+/** Some roots are always admitted, so that the end of an overload is noticed. */
+const leastShare = 0.05;
+const msPerSecond = 1000;
+
+/**
+The share of the work for the VM's backend server that entry nodes may admit.
+
+It follows the work that arrives and not only the time that it waits: a queue grows for as long as too much arrives, so that a share
+that follows its length turns too late both ways.
+*/
+export class OfferedWork {
+	private logarithm = 0;
+	private arrivals = 0;
+	private sinceMs = performance.now();
+	private utilisation = 0;
+
+	/** Share between 0 and 1. */
+	get share(): number {
+		return Math.exp(this.logarithm);
+	}
+
+	/** Work has arrived, whether or not it will be begun. */
+	noteArrival(): void {
+		this.arrivals++;
+	}
+
+	/** Takes over how the queue stands; called whenever it changed and before the share is asked for. */
+	observe({limit, waiting, meanRunMs}: QueueState): void {
+		const elapsedMs = performance.now() - this.sinceMs;
+		if (elapsedMs < intervalMs) {
+			return;
+		}
+
+		const slots = Math.max(1, limit);
+		const arrived = this.arrivals * meanRunMs / (slots * elapsedMs);
+		this.utilisation += (arrived - this.utilisation) * latestWeight;
+		this.move(waiting * meanRunMs / (slots * drainMs), elapsedMs);
+		this.arrivals = 0;
+		this.sinceMs += elapsedMs;
+	}
+
+	/** Moves the share towards the one at which arrivals and what waits use the slots as aimed at. */
+	private move(queued: number, elapsedMs: number): void {
+		const change = errorOf(this.utilisation + queued) * gainPerSecond * elapsedMs / msPerSecond;
+		this.logarithm = Math.max(Math.log(leastShare), Math.min(0, this.logarithm + change));
+	}
+}
+
+/** Logarithm of the factor that the work offered would have to change by. */
+function errorOf(utilisation: number): number {
+	const error = Math.log(targetUtilisation / Math.max(Number.MIN_VALUE, utilisation));
+	return Math.max(-maxError, Math.min(maxError, error));
+}
--- a/src/services/relay/relay-executor.ts
+++ b/src/services/relay/relay-executor.ts
@@ -11,7 +11,6 @@
 import {type PeerCall, PeerService} from '../../runtime/peer/peer-service.js';
 import {LimitService} from '../admission/limit-service.js';
 import {rootShare} from '../admission/root-share.js';
-import {ThresholdService} from '../admission/threshold-service.js';
 import {type UpstreamLoad} from '../admission/upstream-load.js';
 import {type InstanceReport} from '../backend/instance-report.js';
 import {InstanceService} from '../backend/instance-service.js';
@@ -20,6 +19,7 @@
 import {BackendBreaker} from './backend-breaker.js';
 import {type CallCounts, CallGraphService} from './call-graph-service.js';
 import {type LoadSource} from './load-source.js';
+import {OfferedWork} from './offered-work.js';
 import {relayMethod} from './relay-method.js';
 import {type RelayReply} from './relay-reply.js';
 import {type RelayRequest} from './relay-request.js';
@@ -51,6 +51,7 @@
 	private knownBootMs = 0;
 	private isLeaving = false;
 	private readonly breaker = new BackendBreaker();
+	private readonly offeredWork = new OfferedWork();
 	private readonly idleWaiters: Array<Deferred<void>> = [];
 	/** Executions since the last report, by outcome. */
 	private readonly executions = new Tally();
@@ -59,7 +60,6 @@
 		@PeerService peers: PeerService,
 		@InstanceService private readonly instances: InstanceService,
 		@LimitService private readonly limit: LimitService,
-		@ThresholdService private readonly threshold: ThresholdService,
 		@CallGraphService private readonly callGraph: CallGraphService,
 		@ExchangeService private readonly exchanges: ExchangeService,
 		@HeaderNames private readonly names: HeaderNames,
@@ -111,7 +111,7 @@
 			waiting: this.queue.length,
 			oldestWaitMs: Math.round(this.queue.oldestWaitMs),
 			meanRunMs: Math.round(this.queue.meanMs),
-			threshold: this.threshold.threshold,
+			admittedShare: this.offeredWork.share,
 		};
 	}
 
@@ -153,13 +153,13 @@
 		this.observe();
 		return {
 			inFlight: this.queue.running, limit: this.limit.limit, queued: this.queue.length, queueWaitMs: 0,
-			threshold: this.threshold.threshold,
+			threshold: 1 - this.offeredWork.share,
 			heard: this.callGraph.heard,
 		};
 	}
 
 	private observe(): void {
-		this.threshold.observe({oldestWaitMs: this.queue.oldestWaitMs, isFull: this.queue.running >= this.limit.limit, ownTimeMs: this.queue.meanMs});
+		this.offeredWork.observe({limit: this.limit.limit, waiting: this.queue.length, meanRunMs: this.queue.meanMs});
 	}
 
 	private async execute(request: RelayRequest, call: PeerCall, offer: Offer): Promise<ExchangeAnswer> {
@@ -169,6 +169,7 @@
 			throw new KumquatlineError(ErrorKind.BackendUnreachable, 'the backend server does not answer at present', {started: false});
 		}
 
+		this.offeredWork.noteArrival();
 		this.observe();
 		await this.queue.enter({
 			share: rootShare(rootIdOf(request.requestId)), isInner: request.isInner, hasWaited: request.hasWaited, priority: request.priority, endsAtMs,
--- /dev/null
+++ b/src/services/relay/test/admitted-share.test.ts
@@ -0,0 +1,81 @@
+import {type Clock, install} from '@sinonjs/fake-timers';
+import test from 'ava';
+import {AdmittedShare} from '../admitted-share.js';
+import {AdmittedShares} from '../admitted-shares.js';
+
+let clock: Clock;
+
+test.beforeEach(() => {
+	clock = install();
+});
+
+test.afterEach.always(() => {
+	clock.uninstall();
+});
+
+/** Lets roots end, of which such a share is late; each entered so long before. */
+function run(admitted: AdmittedShare, {perSecond, lateShare, forMs, elapsedMs = 0}: {
+	readonly perSecond: number; readonly lateShare: number; readonly forMs: number; readonly elapsedMs?: number;
+}): void {
+	const roots = Math.round(perSecond * forMs / 1000);
+	for (let index = 0; index < roots; index++) {
+		clock.tick(1000 / perSecond);
+		admitted.noteOutcome((index * lateShare) % 1 >= 1 - lateShare, performance.now() - elapsedMs);
+	}
+}
+
+test.serial('a few roots that end late reduce nothing', t => {
+	const admitted = new AdmittedShare();
+	run(admitted, {perSecond: 50, lateShare: 0.08, forMs: 20_000});
+	t.true(admitted.share > 0.9, `share ${admitted.share}`);
+});
+
+test.serial('the share falls to a part within some seconds while most end late, and is whole again some time after', t => {
+	const admitted = new AdmittedShare();
+	run(admitted, {perSecond: 50, lateShare: 0.6, forMs: 4000});
+	t.true(admitted.share < 0.4, `share ${admitted.share}`);
+	run(admitted, {perSecond: 50, lateShare: 0, forMs: 5000});
+	t.true(admitted.share > 0.4, `share ${admitted.share}`);
+	clock.tick(60_000);
+	t.is(admitted.share, 1);
+});
+
+test.serial('roots that entered before a reduction cause no further one', t => {
+	const admitted = new AdmittedShare();
+	run(admitted, {perSecond: 50, lateShare: 1, forMs: 600});
+	const {share} = admitted;
+	t.true(share < 0.6, `share ${share}`);
+	run(admitted, {
+		perSecond: 50, lateShare: 1, forMs: 600, elapsedMs: 800,
+	});
+	t.true(admitted.share >= share, `share ${admitted.share}`);
+});
+
+test.serial('a node with few requests judges those of several intervals together, and its share grows no more slowly', t => {
+	const admitted = new AdmittedShare();
+	run(admitted, {perSecond: 2, lateShare: 0.9, forMs: 30_000});
+	t.true(admitted.share < 0.9, `share ${admitted.share}`);
+	run(admitted, {perSecond: 1, lateShare: 0, forMs: 15_000});
+	t.is(admitted.share, 1);
+});
+
+test.serial('a share that was reduced to the least is whole again within the time to recover', t => {
+	const admitted = new AdmittedShare();
+	run(admitted, {perSecond: 50, lateShare: 1, forMs: 20_000});
+	t.true(admitted.share < 0.15, `share ${admitted.share}`);
+	clock.tick(15_000);
+	t.is(admitted.share, 1);
+});
+
+test.serial('services that late roots do not need keep their share', t => {
+	const shares = new AdmittedShares();
+	for (let index = 0; index < 200; index++) {
+		clock.tick(20);
+		shares.noteOutcome(['desk', 'stock'], true, performance.now());
+		shares.noteOutcome(['yard'], false, performance.now());
+	}
+
+	t.true(shares.shareOf('stock') < 0.3);
+	t.is(shares.shareOf('yard'), 1);
+	t.is(shares.shareOf('unknown'), 1);
+});
--- /dev/null
+++ b/src/services/relay/test/demand-by-rank.test.ts
@@ -0,0 +1,38 @@
+import {type Clock, install} from '@sinonjs/fake-timers';
+import test from 'ava';
+import {DemandByRank} from '../demand-by-rank.js';
+
+let clock: Clock;
+
+test.beforeEach(() => {
+	clock = install();
+});
+
+test.afterEach.always(() => {
+	clock.uninstall();
+});
+
+test.serial('the share above a rank is the work of higher ranks, whatever gaps there are between them', t => {
+	const demand = new DemandByRank();
+	t.is(demand.shareAbove(0), 0);
+	demand.note(0.1, 5);
+	demand.note(0.1, 5);
+	demand.note(3.2, 30);
+	t.is(demand.shareAbove(3.5), 0);
+	for (const rank of [0.5, 1, 2, 3]) {
+		t.is(demand.shareAbove(rank), 0.75);
+	}
+
+	t.is(demand.shareAbove(0), 1);
+});
+
+test.serial('a class that asks no more is forgotten within some seconds', t => {
+	const demand = new DemandByRank();
+	demand.note(3, 100);
+	for (let index = 0; index < 100; index++) {
+		clock.tick(100);
+		demand.note(0.5, 1);
+	}
+
+	t.true(demand.shareAbove(1) < 0.2, `share ${demand.shareAbove(1)}`);
+});
--- /dev/null
+++ b/src/services/relay/test/offered-work.test.ts
@@ -0,0 +1,64 @@
+import {install} from '@sinonjs/fake-timers';
+import test, {type ExecutionContext} from 'ava';
+import {OfferedWork} from '../offered-work.js';
+
+const stepMs = 10;
+const runMs = 30;
+const slots = 40;
+/** Calls of each root, and the time between them. */
+const callsPerRoot = 8;
+const callGapMs = 120;
+const servedPerStep = slots * stepMs / runMs;
+
+/** Lets roots in by the share in front of a queue, with a demand of so many times what can be served; returns the shares and busy slots of each step. */
+function simulate(t: ExecutionContext, demandOf: (step: number) => number, steps: number) {
+	const clock = install();
+	t.teardown(() => {
+		clock.uninstall();
+	});
+	const offered = new OfferedWork();
+	const arrivals: number[] = [];
+	const shares: number[] = [];
+	const busyShares: number[] = [];
+	let queued = 0;
+	let owed = 0;
+	for (let step = 0; step < steps; step++) {
+		shares.push(offered.share);
+		for (let call = 0; call < callsPerRoot; call++) {
+			const at = step + (call * callGapMs / stepMs);
+			arrivals[at] = (arrivals[at] ?? 0) + (demandOf(step) * servedPerStep / callsPerRoot * offered.share);
+		}
+
+		for (owed += arrivals[step] ?? 0; owed >= 1; owed--) {
+			offered.noteArrival();
+			queued++;
+		}
+
+		const served = Math.min(queued, servedPerStep);
+		busyShares.push(served / servedPerStep);
+		queued -= served;
+		clock.tick(stepMs);
+		offered.observe({limit: slots, waiting: queued, meanRunMs: runMs});
+	}
+
+	return {shares, busyShares};
+}
+
+test.serial('below a deep chain the share settles where the slots are busy, and does not swing between all and nothing', t => {
+	const {shares, busyShares} = simulate(t, () => 3, 3000);
+	const late = shares.slice(1000);
+	t.true(Math.max(...late) < 0.45, `greatest ${Math.max(...late)}`);
+	t.true(Math.min(...late) > 0.2, `least ${Math.min(...late)}`);
+	const busy = busyShares.slice(1000);
+	t.true(busy.reduce((total, share) => total + share, 0) / busy.length > 0.85);
+});
+
+test.serial('demand that the slots can serve is admitted whole', t => {
+	t.true(Math.min(...simulate(t, () => 0.8, 1000).shares.slice(200)) > 0.9);
+});
+
+test.serial('after an overload all is admitted again within some seconds', t => {
+	const {shares} = simulate(t, step => step < 1000 ? 3 : 0.5, 1500);
+	t.true(shares[999] < 0.45, `share ${shares[999]}`);
+	t.true(Math.min(...shares.slice(1400)) > 0.95, `least ${Math.min(...shares.slice(1400))}`);
+});
