Count a node's own processor as a resource of its service

Cause: the nodes beside the busiest services have no processor time left (1.0 to 1.1 core-seconds a second at 1 to 3 s, in the load lines; with --no-cpu 0.99 of the same seconds is in aim), and what they report of themselves knows only slots. Entries learn of it late, each by itself, from roots that fail.

The node beside an upstream now also reports how busy its event loop is, as part of the share that entries may admit. A delay of the event loop was tried before and never rose; the share of time in which the loop does not wait does.

--- a/src/programs/node/create-relay-kernel.ts
+++ b/src/programs/node/create-relay-kernel.ts
@@ -1,5 +1,7 @@
 import {HeaderNames} from '../../runtime/http/header-names.js';
 import {type Kernel} from '../../runtime/kernel/kernel.js';
+import {EventLoopProcessorService} from '../../runtime/processor/event-loop-processor-service.js';
+import {ProcessorService} from '../../runtime/processor/processor-service.js';
 import {RelaySettingsService} from '../../runtime/settings/relay-settings-service.js';
 import {platformHeaderNames} from '../../platform/header-names.js';
 import {ManifestPolicyService} from '../../platform/manifest/manifest-policy-service.js';
@@ -27,6 +29,7 @@
 		.registerInstance(HeaderNames, platformHeaderNames)
 		.register(PolicyService, ManifestPolicyService)
 		.register(InstanceService, InstanceBoard)
+		.register(ProcessorService, EventLoopProcessorService)
 		.register(ExchangeService, PooledExchangeService)
 		.register(RunningRequests, RunningRequestSet)
 		.register(CallGraphService, LearnedCallGraphService)
--- /dev/null
+++ b/src/runtime/processor/processor-service.ts
@@ -0,0 +1,9 @@
+import {createServiceId} from '../kernel/create-service-id.js';
+
+/** The processor time that the process has. */
+export interface ProcessorService {
+	/** Share of the time in which the process was not idle, over the last tenth of a second or so. */
+	readonly busyShare: number;
+}
+
+export const ProcessorService = createServiceId<ProcessorService>('processor');
--- /dev/null
+++ b/src/runtime/processor/test/event-loop-processor-service.test.ts
@@ -0,0 +1,19 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import test from 'ava';
+import {EventLoopProcessorService} from '../event-loop-processor-service.js';
+
+const spanMs = 300;
+
+test.serial('a process that computes is busy, one that waits is not', async t => {
+	const processor = new EventLoopProcessorService();
+	await sleep(spanMs);
+	t.true(processor.busyShare < 0.5, `waiting ${processor.busyShare}`);
+	const untilMs = performance.now() + spanMs;
+	while (performance.now() < untilMs) {
+		// Computes.
+	}
+
+	// The share of a turn is known once the loop has waited again.
+	await sleep(1);
+	t.true(processor.busyShare > 0.8, `computing ${processor.busyShare}`);
+});
--- a/src/services/relay/offered-work.ts
+++ b/src/services/relay/offered-work.ts
@@ -1,14 +1,18 @@
-/** How the queue of a backend server stands. */
+/** How the queue of a backend server stands, and its node. */
 type QueueState = {
 	readonly limit: number;
 	readonly waiting: number;
 	readonly meanRunMs: number;
+	/** Share of the time in which the node's own processor was busy. */
+	readonly processorShare: number;
 };
 
 /** Time over which arrivals are counted: some dozens of them at a service that is nearly full. */
 const intervalMs = 100;
-/** Utilisation aimed at: service times rise above, and bursts need some room. */
+/** Utilisation aimed at, of the slots and of the node's processor: waits grow fast above, and bursts need some room. */
 const targetUtilisation = 0.92;
+/** Reduction, as a logarithm, for a processor that is always busy: how much more is asked of it can't be seen. */
+const fullProcessorError = 0.7;
 /** Time in which a queue is to be gone. */
 const drainMs = 500;
 /** Weight of the latest interval in the offered utilisation. */
@@ -46,8 +50,8 @@
 		this.arrivals++;
 	}
 
-	/** Takes over how the queue stands; called whenever it changed and before the share is asked for. */
-	observe({limit, waiting, meanRunMs}: QueueState): void {
+	/** Takes over how things stand; called whenever it changed and before the share is asked for. */
+	observe({limit, waiting, meanRunMs, processorShare}: QueueState): void {
 		const elapsedMs = performance.now() - this.sinceMs;
 		if (elapsedMs < intervalMs) {
 			return;
@@ -56,14 +60,15 @@
 		const slots = Math.max(1, limit);
 		const arrived = this.arrivals * meanRunMs / (slots * elapsedMs);
 		this.utilisation += (arrived - this.utilisation) * latestWeight;
-		this.move(waiting * meanRunMs / (slots * drainMs), elapsedMs);
+		const slotError = errorOf(this.utilisation + (waiting * meanRunMs / (slots * drainMs)));
+		this.move(Math.min(slotError, processorErrorOf(processorShare)), elapsedMs);
 		this.arrivals = 0;
 		this.sinceMs += elapsedMs;
 	}
 
-	/** Moves the share towards the one at which arrivals and what waits use the slots as aimed at. */
-	private move(queued: number, elapsedMs: number): void {
-		const change = errorOf(this.utilisation + queued) * gainPerSecond * elapsedMs / msPerSecond;
+	/** Moves the share towards the one at which what arrives is as much as aimed at. */
+	private move(error: number, elapsedMs: number): void {
+		const change = error * gainPerSecond * elapsedMs / msPerSecond;
 		this.logarithm = Math.max(Math.log(leastShare), Math.min(0, this.logarithm + change));
 	}
 }
@@ -73,3 +78,8 @@
 	const error = Math.log(targetUtilisation / Math.max(Number.MIN_VALUE, utilisation));
 	return Math.max(-maxError, Math.min(maxError, error));
 }
+
+/** The same for the processor, whose use can't be more than whole. */
+function processorErrorOf(share: number): number {
+	return share <= targetUtilisation ? errorOf(share) : -fullProcessorError * (share - targetUtilisation) / (1 - targetUtilisation);
+}
--- a/src/services/relay/relay-executor.ts
+++ b/src/services/relay/relay-executor.ts
@@ -9,6 +9,7 @@
 import {LogService} from '../../runtime/log/log-service.js';
 import {MetricsService} from '../../runtime/metrics/metrics-service.js';
 import {type PeerCall, PeerService} from '../../runtime/peer/peer-service.js';
+import {ProcessorService} from '../../runtime/processor/processor-service.js';
 import {LimitService} from '../admission/limit-service.js';
 import {rootShare} from '../admission/root-share.js';
 import {type UpstreamLoad} from '../admission/upstream-load.js';
@@ -66,6 +67,7 @@
 		@MetricsService private readonly metrics: MetricsService,
 		@LogService private readonly log: LogService,
 		@RunningRequests private readonly runningRequests: RunningRequests,
+		@ProcessorService private readonly processor: ProcessorService,
 	) {
 		this.queue = new SlotQueue(() => this.limit.limit);
 		this.handlers.add(peers.handle(relayMethod, async (request, call) => this.reply(request, call)));
@@ -112,6 +114,7 @@
 			oldestWaitMs: Math.round(this.queue.oldestWaitMs),
 			meanRunMs: Math.round(this.queue.meanMs),
 			admittedShare: this.offeredWork.share,
+			processorShare: this.processor.busyShare,
 		};
 	}
 
@@ -159,7 +162,9 @@
 	}
 
 	private observe(): void {
-		this.offeredWork.observe({limit: this.limit.limit, waiting: this.queue.length, meanRunMs: this.queue.meanMs});
+		this.offeredWork.observe({
+			limit: this.limit.limit, waiting: this.queue.length, meanRunMs: this.queue.meanMs, processorShare: this.processor.busyShare,
+		});
 	}
 
 	private async execute(request: RelayRequest, call: PeerCall, offer: Offer): Promise<ExchangeAnswer> {
--- a/src/services/relay/test/offered-work.test.ts
+++ b/src/services/relay/test/offered-work.test.ts
@@ -38,7 +38,9 @@
 		busyShares.push(served / servedPerStep);
 		queued -= served;
 		clock.tick(stepMs);
-		offered.observe({limit: slots, waiting: queued, meanRunMs: runMs});
+		offered.observe({
+			limit: slots, waiting: queued, meanRunMs: runMs, processorShare: 0,
+		});
 	}
 
 	return {shares, busyShares};
@@ -62,3 +64,24 @@
 	t.true(shares[999] < 0.45, `share ${shares[999]}`);
 	t.true(Math.min(...shares.slice(1400)) > 0.95, `least ${Math.min(...shares.slice(1400))}`);
 });
+
+test.serial('a node whose own processor is always busy admits less, with free slots too, and all again when it has time', t => {
+	const clock = install();
+	t.teardown(() => {
+		clock.uninstall();
+	});
+	const offered = new OfferedWork();
+	const observe = (processorShare: number, forMs: number) => {
+		for (let elapsedMs = 0; elapsedMs < forMs; elapsedMs += 100) {
+			clock.tick(100);
+			offered.observe({
+				limit: slots, waiting: 0, meanRunMs: runMs, processorShare,
+			});
+		}
+	};
+
+	observe(1, 2000);
+	t.true(offered.share < 0.5, `share ${offered.share}`);
+	observe(0.5, 5000);
+	t.is(offered.share, 1);
+});
--- a/standins/modelled-graph/model-node.ts
+++ b/standins/modelled-graph/model-node.ts
@@ -5,6 +5,7 @@
 import {type LogService} from '../../src/runtime/log/log-service.js';
 import {type MetricsService} from '../../src/runtime/metrics/metrics-service.js';
 import {testSettings} from '../../src/runtime/peer/test/peer-fixture.js';
+import {type ProcessorService} from '../../src/runtime/processor/processor-service.js';
 import {FixedSettingsService} from '../../src/runtime/settings/fixed-settings-service.js';
 import {type RelaySettings} from '../../src/runtime/settings/relay-settings.js';
 import {type RelaySettingsService} from '../../src/runtime/settings/relay-settings-service.js';
@@ -29,6 +30,7 @@
 };
 const quietMetrics = {count() {/* Quiet. */}, record() {/* Quiet. */}} as unknown as MetricsService;
 const okStatus = 200;
+const processorIntervalMs = 100;
 
 /** What the nodes of one model share. */
 export type ModelSurroundings = {
@@ -57,11 +59,13 @@
 };
 
 /** A node with its real decisions: choice of upstream, early refusal, queue, limits and retries; only its connections are modelled. */
-export class ModelNode {
+export class ModelNode implements ProcessorService {
 	readonly backend: ModelBackend;
 	private readonly relay: MeshRelayService;
 	private readonly running = new RunningRequestSet();
 	private processorFreeAtMs = 0;
+	private processorUsedMs = 0;
+	private processorSeen = {atMs: 0, usedMs: 0, share: 0};
 
 	constructor(private readonly options: NodeOptions, private readonly surroundings: ModelSurroundings) {
 		const {name, zone, service, slots, speed} = options;
@@ -83,6 +87,18 @@
 		this.relay = this.createRelay(ownPeers);
 	}
 
+	get busyShare(): number {
+		const nowMs = performance.now();
+		const {atMs, usedMs} = this.processorSeen;
+		if (nowMs - atMs >= processorIntervalMs) {
+			const waitingMs = Math.max(0, this.processorFreeAtMs - nowMs);
+			const used = this.processorUsedMs - waitingMs;
+			this.processorSeen = {atMs: nowMs, usedMs: used, share: Math.min(1, (used - usedMs) / (nowMs - atMs))};
+		}
+
+		return this.processorSeen.share;
+	}
+
 	reportLoad(): unknown {
 		return this.relay.reportLoad();
 	}
@@ -129,7 +145,7 @@
 				instanceId: name, bornAtMs: 1, sequence: 1, service, slots, draining: false, coldLeftMs: 0,
 			},
 		};
-		const executor = new RelayExecutor(peers, instances as InstanceService, limit, callGraph, this.backend, names, quietMetrics, quietLog, this.running);
+		const executor = new RelayExecutor(peers, instances as InstanceService, limit, callGraph, this.backend, names, quietMetrics, quietLog, this.running, this);
 		executor.noteInstance(instances.current);
 		const relay: Partial<RelaySettings> = {retryRatio: 0.2, retryWindowMs: 10_000, retrySlack: 48};
 		const relaySettings: RelaySettingsService = {relay: relay as RelaySettings, onDidChange: new Emitter<RelaySettings>().event};
@@ -156,6 +172,7 @@
 
 		const nowMs = performance.now();
 		this.processorFreeAtMs = Math.max(nowMs, this.processorFreeAtMs) + messageMs;
+		this.processorUsedMs += messageMs;
 		await new Promise<void>(resolve => {
 			setTimeout(resolve, this.processorFreeAtMs - nowMs);
 		});
