Spend repetitions on urgent requests first, also at an upstream that refuses at random

Cause: a call was sent to two upstreams at most, so that a chain of five calls came through once in six, and the repetitions that the graph's budget allows went to whoever asked first, mostly to lookups, which failed all the same.

A request that an upstream refused while it has room may now be sent to it again, within the budget and without reaching further upstreams; requests that are less urgent than others which ask for repetitions use a fifth of it.

All repetitions are drawn from the same budget as before. One busy moment after a pause, such as a node's start, reduced the share that it reports by seconds' worth: a test of whole nodes saw a refusal; the time that one observation counts for is bounded, and tests of several nodes in one process don't measure that process.

--- a/src/services/relay/mesh-relay-service.ts
+++ b/src/services/relay/mesh-relay-service.ts
@@ -30,6 +30,10 @@
 const maxDetours = 6;
 /** Full queues after which the others are taken to be full as well: load is spread over them alike. */
 const maxFullQueues = 1;
+/** Sends of one request that upstreams may refuse without being full: six leave one in thirty where half are refused. */
+const maxSheds = 6;
+/** Share of its limit from which on an upstream that refuses is taken to be full. */
+const fullShare = 0.85;
 /** Time after which a caller may find an upstream where none was there. */
 const noUpstreamRetryMs = 500;
 /** Failures that say nothing about other upstreams: another may be tried. */
@@ -53,6 +57,8 @@
 	readonly failure?: KumquatlineError;
 	readonly answer?: RelayAnswer;
 	readonly offered: boolean;
+	/** Whether the upstream refused although it has room, as one does that fails at random: it may take the request next time. */
+	readonly isShedWithRoom: boolean;
 };
 
 /** Sends each request to an upstream of its route; another one only while that is allowed and safe. */
@@ -135,14 +141,12 @@
 	}
 
 	private async tryUpstreams(request: RelayRequest, matched: Route, endsAtMs: number, attempts: Attempt[], signal: AbortSignal): Promise<RelayAnswer> {
-		const tried = new Set<string>();
 		for (;;) {
-			const member = this.chooser.choose(request.service, tried);
+			const member = this.chooseNext(request, matched, attempts);
 			if (!member) {
 				return settle(attempts, request.service);
 			}
 
-			tried.add(member.nodeId);
 			const attempt = await this.attempt(member, request, endsAtMs, signal);
 			attempts.push(attempt);
 			if (!this.mayGoOn(attempt, attempts, request, matched)) {
@@ -151,10 +155,24 @@
 		}
 	}
 
-	/** Whether the request may be sent to one more upstream. */
-	private mayGoOn({failure, answer, offered}: Attempt, attempts: readonly Attempt[], request: RelayRequest, matched: Route): boolean {
+	/** An upstream that was not tried yet, or one that refused with room where no further one is left or allowed. */
+	private chooseNext({service}: RelayRequest, {maxUpstreams}: Route, attempts: readonly Attempt[]): Member | undefined {
+		const tried = new Set(attempts.map(({nodeId}) => nodeId));
+		const offeredTo = new Set(attempts.filter(({offered}) => offered).map(({nodeId}) => nodeId));
+		const fresh = offeredTo.size < maxUpstreams ? this.chooser.choose(service, ({nodeId}) => !tried.has(nodeId)) : undefined;
+		if (fresh) {
+			return fresh;
+		}
+
+		const withRoom = new Set(attempts.filter(({isShedWithRoom}) => isShedWithRoom).map(({nodeId}) => nodeId));
+		return withRoom.size > 0 ? this.chooser.choose(service, ({nodeId}) => withRoom.has(nodeId)) : undefined;
+	}
+
+	/** Whether the request may be sent once more. */
+	private mayGoOn({failure, answer, offered, isShedWithRoom}: Attempt, attempts: readonly Attempt[], request: RelayRequest, matched: Route): boolean {
 		const fullQueues = attempts.filter(attempt => attempt.failure?.kind === ErrorKind.Overloaded).length;
-		if (attempts.length > maxDetours || fullQueues > maxFullQueues) {
+		const sheds = attempts.filter(attempt => attempt.isShedWithRoom).length;
+		if (attempts.length - sheds > maxDetours || sheds >= maxSheds || fullQueues > maxFullQueues) {
 			return false;
 		}
 
@@ -165,8 +183,8 @@
 			return false;
 		}
 
-		const offers = attempts.filter(attempt => attempt.offered).length;
-		return !offered || (offers < matched.maxUpstreams && this.budgets.take(request));
+		const offers = attempts.filter(attempt => attempt.offered && !attempt.isShedWithRoom).length;
+		return !offered || ((isShedWithRoom || offers < matched.maxUpstreams) && this.budgets.take(request));
 	}
 
 	private async attempt(member: Member, request: RelayRequest, endsAtMs: number, signal: AbortSignal): Promise<Attempt> {
@@ -184,7 +202,9 @@
 			return toAttempt(nodeId, reply);
 		} catch (error) {
 			const failure = error instanceof KumquatlineError ? error : new KumquatlineError(ErrorKind.Internal, 'unforeseen failure', {cause: error});
-			return {nodeId, failure, offered: failure.started !== false};
+			return {
+				nodeId, failure, offered: failure.started !== false, isShedWithRoom: false,
+			};
 		} finally {
 			this.chooser.noteEnd(member, {load: reply?.load, elapsedMs: performance.now() - beganAtMs, succeeded: isSuccess(reply)});
 		}
@@ -237,12 +257,21 @@
 	return reply?.failure ? reply.failure.kind === ErrorKind.Overloaded : (reply?.status ?? firstFailureStatus) < firstFailureStatus;
 }
 
-function toAttempt(nodeId: string, {status, headers, body = new Uint8Array(), failure, offered}: RelayReply): Attempt {
+function toAttempt(nodeId: string, {
+	status, headers, body = new Uint8Array(), failure, offered, load,
+}: RelayReply): Attempt {
 	if (status === undefined || !headers) {
-		return {nodeId, failure: fromWireError(failure ?? {kind: ErrorKind.PeerProtocol, message: 'a reply without answer or failure'}), offered};
+		return {
+			nodeId,
+			failure: fromWireError(failure ?? {kind: ErrorKind.PeerProtocol, message: 'a reply without answer or failure'}),
+			offered,
+			isShedWithRoom: failure?.kind === ErrorKind.BackendShed && load.inFlight < load.limit * fullShare,
+		};
 	}
 
-	return {nodeId, answer: {status, headers, body}, offered};
+	return {
+		nodeId, answer: {status, headers, body}, offered, isShedWithRoom: false,
+	};
 }
 
 /** The outcome of all attempts: the last answer if there was one, else the failure that promises least. */
--- a/src/services/relay/offered-work.ts
+++ b/src/services/relay/offered-work.ts
@@ -24,6 +24,8 @@
 const gainPerSecond = 1;
 /** Bounds of the factor that offered and aimed-at utilisation are taken to differ by, as a logarithm. */
 const maxError = 1.5;
+/** Time for which one observation reduces the share at most: after a pause, as at a start, what it saw is no standing overload. */
+const longestReductionMs = 200;
 /** Some roots are always admitted, so that the end of an overload is noticed. */
 const leastShare = 0.05;
 const msPerSecond = 1000;
@@ -68,7 +70,8 @@
 
 	/** Moves the share towards the one at which what arrives is as much as aimed at. */
 	private move(error: number, elapsedMs: number): void {
-		const change = error * gainPerSecond * elapsedMs / msPerSecond;
+		const countedMs = error < 0 ? Math.min(elapsedMs, longestReductionMs) : elapsedMs;
+		const change = error * gainPerSecond * countedMs / msPerSecond;
 		this.logarithm = Math.max(Math.log(leastShare), Math.min(0, this.logarithm + change));
 	}
 }
--- a/src/services/relay/retry-budget.ts
+++ b/src/services/relay/retry-budget.ts
@@ -25,12 +25,12 @@
 		this.current().requests += count;
 	}
 
-	/** Whether so many repetitions are left. */
-	has(count: number): boolean {
+	/** Whether so many repetitions are left in a part of the budget. */
+	has(count: number, part = 1): boolean {
 		const {ratio, slack, share} = this.settings();
 		const {requests, repetitions} = this.sum();
 		const allowed = ((requests * ratio) + (slack / Math.max(1, this.nodeCount()))) * share;
-		return repetitions + count <= allowed;
+		return repetitions + count <= allowed * part;
 	}
 
 	/** Counts repetitions, allowed or not. */
--- a/src/services/relay/retry-budgets.ts
+++ b/src/services/relay/retry-budgets.ts
@@ -10,10 +10,18 @@
 const directShare = 0.65;
 const deeperShare = 0.08;
 
+/**
+Part of a budget that requests may use while more urgent ones ask for it too: as the least urgent are the most, they would
+otherwise use it up.
+*/
+const yieldingShare = 0.2;
+
 /** What this node may send again to each service, the calls included that a repeated request makes again deeper down. */
 export class RetryBudgets {
 	private readonly direct = new Map<string, RetryBudget>();
 	private readonly deeper = new Map<string, RetryBudget>();
+	/** When requests last asked for a repetition, by service and priority. */
+	private readonly askedAtMs = new Map<string, Map<number, number>>();
 
 	constructor(
 		private readonly settings: Pick<RelaySettingsService, 'relay'>,
@@ -31,10 +39,11 @@
 	}
 
 	/** Takes one repetition of a request, with all the calls that it repeats deeper down; false when a service has too little left. */
-	take({route, service}: RelayRequest): boolean {
+	take({route, service, priority}: RelayRequest): boolean {
+		const part = this.yieldsAt(service, priority) ? yieldingShare : 1;
 		const direct = this.budgetOf(this.direct, service, directShare);
 		const calls = [...this.callGraph.callsOf(route)].map(([name, count]) => ({budget: this.budgetOf(this.deeper, name, deeperShare), count}));
-		const isGranted = direct.has(1) && calls.every(({budget, count}) => budget.has(count));
+		const isGranted = direct.has(1, part) && calls.every(({budget, count}) => budget.has(count));
 		this.metrics.count('retries', {route, outcome: isGranted ? 'granted' : 'denied'});
 		if (isGranted) {
 			direct.take(1);
@@ -46,6 +55,14 @@
 		return isGranted;
 	}
 
+	/** Whether more urgent requests have asked for repetitions at a service of late. */
+	private yieldsAt(service: string, priority: number): boolean {
+		const nowMs = performance.now();
+		const asked = this.askedAtMs.get(service) ?? new Map<number, number>();
+		this.askedAtMs.set(service, asked.set(priority, nowMs));
+		return [...asked].some(([other, atMs]) => other < priority && nowMs - atMs < this.settings.relay.retryWindowMs);
+	}
+
 	/** Nodes that share the slack. Those taken for dead may be alive on the other side of a cut, and use their part as well. */
 	private get sharingNodes(): number {
 		return this.membership.members.filter(({state}) => state !== MemberState.Left).length;
--- a/src/services/relay/test/offered-work.test.ts
+++ b/src/services/relay/test/offered-work.test.ts
@@ -85,3 +85,16 @@
 	observe(0.5, 5000);
 	t.is(offered.share, 1);
 });
+
+test.serial('one busy moment after a pause reduces the share little', t => {
+	const clock = install();
+	t.teardown(() => {
+		clock.uninstall();
+	});
+	const offered = new OfferedWork();
+	clock.tick(10_000);
+	offered.observe({
+		limit: slots, waiting: 0, meanRunMs: runMs, processorShare: 1,
+	});
+	t.true(offered.share > 0.85, `share ${offered.share}`);
+});
--- a/src/services/relay/test/retry-budgets.test.ts
+++ b/src/services/relay/test/retry-budgets.test.ts
@@ -33,3 +33,23 @@
 
 	t.true(besideThree(MemberState.Left) > besideThree(MemberState.Dead));
 });
+
+test('the least urgent leave repetitions to more urgent requests that ask for them, and use them all otherwise', t => {
+	const relay: Partial<RelaySettings> = {retryRatio: 0.2, retryWindowMs: 10_000, retrySlack};
+	const open = () => new RetryBudgets({relay: relay as RelaySettings}, {members: []}, new LearnedCallGraphService(), new SilentMetricsService());
+	const countGranted = (budgets: RetryBudgets, priority: number) => {
+		let count = 0;
+		while (budgets.take({...request, priority})) {
+			count++;
+		}
+
+		return count;
+	};
+
+	const all = countGranted(open(), 2);
+	t.true(all > 20);
+	const budgets = open();
+	t.true(budgets.take({...request, priority: 0}));
+	t.true(countGranted(budgets, 2) < all / 3);
+	t.true(countGranted(budgets, 0) > all / 2);
+});
--- a/src/services/relay/test/upstream-chooser.test.ts
+++ b/src/services/relay/test/upstream-chooser.test.ts
@@ -18,7 +18,7 @@
 function countChoices(chooser: UpstreamChooser, count: number, outcomeOf: (nodeId: string) => {elapsedMs: number; succeeded: boolean}): Record<string, number> {
 	const counts: Record<string, number> = {};
 	for (let index = 0; index < count; index++) {
-		const chosen = chooser.choose('s', new Set())!;
+		const chosen = chooser.choose('s', () => true)!;
 		counts[chosen.nodeId] = (counts[chosen.nodeId] ?? 0) + 1;
 		chooser.noteEnd(chosen, outcomeOf(chosen.nodeId));
 	}
@@ -32,7 +32,7 @@
 	t.deepEqual(countChoices(chooser, 50, () => ({elapsedMs: 20, succeeded: true})), {near: 50});
 	const chosen = new Set<string>();
 	for (let index = 0; index < 20; index++) {
-		chosen.add(chooser.choose('s', new Set())!.nodeId);
+		chosen.add(chooser.choose('s', () => true)!.nodeId);
 	}
 
 	t.deepEqual(chosen, new Set(['near', 'far']));
@@ -87,7 +87,7 @@
 	const chooser = openChooser([member('near', 'zone-a'), member('far', 'zone-b'), member('farther', 'zone-c')]);
 	const counts: Record<string, number> = {};
 	for (let index = 0; index < 60; index++) {
-		const chosen = chooser.choose('s', new Set())!;
+		const chosen = chooser.choose('s', () => true)!;
 		counts[chosen.nodeId] = (counts[chosen.nodeId] ?? 0) + 1;
 	}
 
--- a/src/services/relay/upstream-chooser.ts
+++ b/src/services/relay/upstream-chooser.ts
@@ -47,9 +47,9 @@
 		private readonly random: RandomGenerator,
 	) {}
 
-	/** Chooses an upstream and counts a request in flight to it until `noteEnd`; undefined when there is none. */
-	choose(service: string, exclude: ReadonlySet<string>): Member | undefined {
-		const candidates = this.membership.upstreams(service).filter(member => !exclude.has(member.nodeId));
+	/** Chooses an upstream among those allowed and counts a request in flight to it until `noteEnd`; undefined when there is none. */
+	choose(service: string, isAllowed: (member: Member) => boolean): Member | undefined {
+		const candidates = this.membership.upstreams(service).filter(member => isAllowed(member));
 		const near = candidates.filter(member => member.availabilityZone === this.availabilityZone);
 		const member = near.some(candidate => this.hasRoom(candidate)) ? this.pick(near) : this.pickAnywhere(candidates, near);
 		if (member) {
--- a/standins/modelled-graph/test/overload-recovery.test.ts
+++ b/standins/modelled-graph/test/overload-recovery.test.ts
@@ -2,7 +2,7 @@
 import {createLahoreModel, lahoreDemand, ledgerSlots} from '../lahore-model.js';
 import {type ModelGraph, type ServedCounts} from '../model-graph.js';
 
-/** Users' floor for the worst class on a day of this kind. */
+/** Users' floor for the worst class on days of this kind. */
 const classFloor = 0.29;
 /** Users' bound on the time until what was served before is served again. */
 const recoveryMs = 15_000;
@@ -59,4 +59,17 @@
 			t.true(servedShare(counts, route) >= 0.95, `${route} served ${servedShare(counts, route)}`);
 		}
 	});
+
+	test.serial(`bookings are served before lookups while every ledger refuses half of what it is sent, seed ${seed}`, async t => {
+		const graph = open(t, seed, 0.25);
+		await graph.run(8 * secondMs, lahoreDemand(1));
+		for (const {backend} of graph.nodesOf('ledger')) {
+			backend.refusedShare = 0.55;
+		}
+
+		const counts = await graph.run(4 * secondMs, lahoreDemand(1));
+		await graph.run(answerMs, []);
+		t.true(servedShare(counts, 'booking') >= classFloor, `bookings served ${servedShare(counts, 'booking')}`);
+		t.true(servedShare(counts, 'booking') > servedShare(counts, 'lookup'));
+	});
 }
--- a/standins/platform/test/relay-fixture.ts
+++ b/standins/platform/test/relay-fixture.ts
@@ -6,6 +6,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {LogService} from '../../../src/runtime/log/log-service.js';
 import {testSettings} from '../../../src/runtime/peer/test/peer-fixture.js';
+import {ProcessorService} from '../../../src/runtime/processor/processor-service.js';
 import {MembershipService} from '../../../src/services/membership/membership-service.js';
 import {PlatformBackendStandIn} from '../platform-backend-stand-in.js';
 import {StoreStandIn} from '../../store/store-stand-in.js';
@@ -71,7 +72,8 @@
 				service, backendHost: host, backendPort: backend.port, outboundHost: host, outboundPort: 0, readyHost: host, readyPort: 0, controlHost: host, controlPort: 0, metricsPort: 0,
 				retryRatio: 0.2, retryWindowMs: 10_000, retrySlack: 48, graceMs: 4500, announceIntervalMs: 1500,
 			},
-		}).registerInstance(LogService, quietLog);
+			// All nodes of a test share one process, which says nothing of each one's load.
+		}).registerInstance(LogService, quietLog).registerInstance(ProcessorService, {busyShare: 0});
 		const node = new RelayNode(kernel);
 		this.t.teardown(() => {
 			node.dispose();
--- a/standins/platform/test/relay-node.test.ts
+++ b/standins/platform/test/relay-node.test.ts
@@ -75,6 +75,21 @@
 	t.is(catalogue.backend.runs.length, 0);
 });
 
+test('a request that a backend server with room has refused is sent to it again, within the budget', async t => {
+	const {desk, catalogue} = await startPair(t);
+	catalogue.backend.refusals = 3;
+	t.like(await send(desk.node.ports.outbound, {host: 'a.example', path: '/read/x', id: 'r1'}), {status: 200, body: 'catalogue ran r1'});
+	t.is(catalogue.backend.refusals, 0);
+	t.is(catalogue.backend.runs.length, 1);
+	catalogue.backend.refusals = 1000;
+	for (let index = 0; index < 20; index++) {
+		t.like(await send(desk.node.ports.outbound, {host: 'a.example', path: '/read/x', id: `s${index}`}), {status: 503});
+	}
+
+	// Slack and ratio of the settings, over all nodes.
+	t.true(1000 - catalogue.backend.refusals - 20 <= 48 + (0.2 * 21));
+});
+
 test('a backend server that refuses at random while it runs little keeps its limit', async t => {
 	const {desk, catalogue} = await startPair(t);
 	const request = {host: 'a.example', path: '/read/x'};
