End the work of pipelined requests with their connection

And calls went on for callers of pipelined requests that had left.

Cause: a response whose turn on its connection has not come is never closed. The node counted it as under way for good: the stop waited for it to its limit, and the caller's leaving did not abort its work.

Requests are now counted by connection and end with it. Stages of a stop are logged.

--- a/src/programs/node/relay-node.ts
+++ b/src/programs/node/relay-node.ts
@@ -98,10 +98,17 @@
 	}
 
 	private async finish(signal: AbortSignal): Promise<void> {
-		await this.kernel.get(OutboundService).close();
-		await this.executor.whenIdle();
-		await this.kernel.get(MembershipService).leave(signal);
-		await this.kernel.get(PeerService).close();
+		await this.endStage('callers answered', this.kernel.get(OutboundService).close());
+		await this.endStage('backend server idle', this.executor.whenIdle());
+		await this.endStage('registration ended', this.kernel.get(MembershipService).leave(signal));
+		await this.endStage('peer connections closed', this.kernel.get(PeerService).close());
+	}
+
+	/** Logs when a stage of a stop is over, so that the one which holds it up shows. */
+	private async endStage(name: string, stage: Promise<void>): Promise<void> {
+		const beganAtMs = performance.now();
+		await stage;
+		this.log.info('stop stage over', {stage: name, elapsedMs: Math.round(performance.now() - beganAtMs)});
 	}
 
 	private wire(): void {
--- a/src/services/outbound/http-outbound-service.ts
+++ b/src/services/outbound/http-outbound-service.ts
@@ -52,8 +52,8 @@
 		void this.handle(request, response);
 	});
 
-	/** Connections with requests under way, and how many. */
-	private readonly running = new Map<Duplex, number>();
+	/** Connections with requests under way; each is aborted when its caller leaves. */
+	private readonly running = new Map<Duplex, Set<AbortController>>();
 	/** Connections whose first request has been read. */
 	private readonly begun = new WeakSet<Duplex>();
 	private readonly patience = new PatienceMemory();
@@ -77,7 +77,7 @@
 			this.apply(policy);
 		}));
 		this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-			answerMalformed(socket, this.running.has(socket), malformedKinds.get(error.code ?? '') ?? ErrorKind.BadRequest);
+			answerMalformed(socket, (this.running.get(socket)?.size ?? 0) > 0, malformedKinds.get(error.code ?? '') ?? ErrorKind.BadRequest);
 		});
 	}
 
@@ -127,12 +127,13 @@
 		const enteredAtMs = performance.now();
 		const gone = new AbortController();
 		const {socket} = message;
-		this.running.set(socket, (this.running.get(socket) ?? 0) + 1);
+		this.runningOn(socket).add(gone);
 		response.once('close', () => {
-			this.noteClosed(socket);
 			if (!response.writableFinished) {
 				gone.abort();
 			}
+
+			this.noteEnded(socket, gone);
 		});
 		const bodyShare = this.bodies.open();
 		try {
@@ -275,20 +276,34 @@
 		writeFailure(response, failure);
 	}
 
-	private noteClosed(socket: Duplex): void {
-		const left = (this.running.get(socket) ?? 0) - 1;
-		if (left > 0) {
-			this.running.set(socket, left);
-		} else {
-			this.running.delete(socket);
+	private runningOn(socket: Duplex): Set<AbortController> {
+		const known = this.running.get(socket);
+		if (known) {
+			return known;
 		}
 
+		const opened = new Set<AbortController>();
+		this.running.set(socket, opened);
+		// Pipelined requests whose turn has not come have a response without a connection, which is never closed.
+		socket.once('close', () => {
+			this.running.delete(socket);
+			for (const gone of opened) {
+				gone.abort();
+			}
+
+			this.settleIdle();
+		});
+		return opened;
+	}
+
+	private noteEnded(socket: Duplex, gone: AbortController): void {
+		this.running.get(socket)?.delete(gone);
 		this.settleIdle();
 	}
 
 	private settleIdle(): void {
-		if (this.running.size === 0) {
-			this.onIdle?.();
+		if (this.onIdle && [...this.running.values()].every(running => running.size === 0)) {
+			this.onIdle();
 		}
 	}
 }
--- a/standins/platform/platform-backend-stand-in.ts
+++ b/standins/platform/platform-backend-stand-in.ts
@@ -31,6 +31,8 @@
 	refusals = 0;
 	/** Most requests that were at work at one moment. */
 	peakRunning = 0;
+	/** Requests whose connection was closed before they were answered. */
+	gone = 0;
 	/** Time that each run takes. */
 	workMs = 0;
 	private running = 0;
@@ -92,6 +94,9 @@
 			return;
 		}
 
+		response.once('close', () => {
+			this.gone += response.writableFinished ? 0 : 1;
+		});
 		const body = await buffer(message);
 		this.runs.push({
 			id,
--- a/standins/platform/test/relay-node.test.ts
+++ b/standins/platform/test/relay-node.test.ts
@@ -211,3 +211,29 @@
 		t.is(catalogue.backend.runs.length, 0);
 	});
 }
+
+test('a node stops without waiting for pipelined requests that its last answer left unread', async t => {
+	const {desk} = await startPair(t);
+	desk.backend.workMs = 300;
+	const socket = connect(desk.node.ports.outbound, '127.0.0.1');
+	const requestText = (id: string) => `POST /charge/x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: ${id}\r\nX-Deadline-Ms: 2000\r\nContent-Length: 0\r\n\r\n`;
+	socket.write(requestText('p1') + requestText('p2') + requestText('p3'));
+	await until(() => desk.backend.runs.length > 0);
+	const beganAtMs = performance.now();
+	await desk.node.stop();
+	// The time after which callers have learned that it leaves, and some for what is under way; the time to stop is 4 s.
+	t.true(performance.now() - beganAtMs < 3500, `stopped after ${performance.now() - beganAtMs} ms`);
+	socket.destroy();
+});
+
+test('the work of pipelined requests ends when their caller leaves', async t => {
+	const {desk, catalogue} = await startPair(t);
+	catalogue.backend.workMs = 700;
+	const socket = connect(desk.node.ports.outbound, '127.0.0.1');
+	const requestText = (id: string) => `GET /read/x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: ${id}\r\nX-Deadline-Ms: 2000\r\n\r\n`;
+	socket.write(requestText('p1') + requestText('p2'));
+	await until(() => catalogue.backend.runs.length === 2);
+	socket.destroy();
+	await until(() => catalogue.backend.gone === 2);
+	t.is(catalogue.backend.gone, 2);
+});
