--- a/src/services/admission/shed-limit-service.ts
+++ b/src/services/admission/shed-limit-service.ts
@@ -4,10 +4,12 @@
 const keptAfterShed = 0.8;
 /** Time over which sheds count as one. */
 const shedSpanMs = 100;
-/** Time after which one more is allowed again. */
+/** Time after which more is allowed again. */
 const growthIntervalMs = 1000;
+/** Part of the announced bounds that is allowed more then, at least one: from the least limit to all in ten seconds, whatever the size. */
+const growthShare = 0.1;
 
-/** Takes the announced bounds until the backend server sheds; then less, and one more each second. */
+/** Takes the announced bounds until the backend server sheds; then less, and a part more each second. */
 export class ShedLimitService implements LimitService {
 	private announced = 0;
 	private identity = 0;
@@ -19,7 +21,8 @@
 			return this.announced;
 		}
 
-		const regained = Math.floor((performance.now() - this.shedAtMs) / growthIntervalMs);
+		const intervals = Math.floor((performance.now() - this.shedAtMs) / growthIntervalMs);
+		const regained = Math.floor(intervals * Math.max(1, this.announced * growthShare));
 		return Math.min(this.announced, this.fallen + regained);
 	}
 
--- a/src/services/admission/test/shed-limit-service.test.ts
+++ b/src/services/admission/test/shed-limit-service.test.ts
@@ -36,6 +36,19 @@
 	t.is(service.limit, 10);
 });
 
+test.serial('a large backend server gets its whole limit back within the time to recover', t => {
+	const service = new ShedLimitService();
+	service.setAnnounced(183, 1000, 1);
+	for (let index = 0; index < 50; index++) {
+		clock.tick(100);
+		service.noteShed(service.limit);
+	}
+
+	t.true(service.limit < 10);
+	clock.tick(15_000);
+	t.is(service.limit, 183);
+});
+
 test.serial('a limit that takes the announced slots stays when the backend server sheds', t => {
 	const service = new AnnouncedLimitService();
 	service.setAnnounced(10, 100);
