Keep a stopping node's backend server in use until its callers have left

A stop took 4.3 to 5.5 s; the backend server was taken from the others after 1.2 s of it, and 1.4 s went into connections to peers that could not answer.

A node lets others use its backend server for 2.0 s now, as its own callers need that long to learn that it leaves, gives the registration up and closes peer connections at the same time, and waits 0.4 s at most for peers to confirm. The test failed before: 503 after 1.2 s.

--- a/src/programs/node/relay-node.ts
+++ b/src/programs/node/relay-node.ts
@@ -21,10 +21,15 @@
 import {RelayService} from '../../services/relay/relay-service.js';
 import {version} from './version.js';
 
-/** Time in which other nodes may still send work to the backend server of a stopping node, which is without it only until the node is back. */
-const lingerMs = 1200;
-/** Time after that in which callers and nodes learn that it leaves; it serves callers on until then. */
-const unreadyMs = 1600;
+/**
+Time in which other nodes may still send work to the backend server of a stopping node, which they are without until the node is back.
+Callers have learned by then that the node isn't ready, as they ask once a second and need two misses.
+*/
+const lingerMs = 2000;
+/** Time after that in which nodes learn that it leaves, and what runs at the backend server makes its last calls. */
+const drainMs = 800;
+/** Time for peers to confirm that they send no more; those that are cut off or gone never do. */
+const peerCloseMs = 400;
 /** Part of the time to stop that is left for ending connections and the registration. */
 const closingMs = 500;
 
@@ -78,7 +83,7 @@
 		await delay(lingerMs);
 		this.kernel.get(MembershipService).drain();
 		this.executor.drain();
-		await delay(unreadyMs);
+		await delay(drainMs);
 		const leftMs = Math.max(1, Math.floor(this.relay.graceMs - closingMs - (performance.now() - beganAtMs)));
 		const signal = AbortSignal.timeout(leftMs);
 		await Promise.race([this.finish(signal), delay(leftMs)]);
@@ -100,8 +105,10 @@
 	private async finish(signal: AbortSignal): Promise<void> {
 		await this.endStage('callers answered', this.kernel.get(OutboundService).close());
 		await this.endStage('backend server idle', this.executor.whenIdle());
-		await this.endStage('registration ended', this.kernel.get(MembershipService).leave(signal));
-		await this.endStage('peer connections closed', this.kernel.get(PeerService).close());
+		await Promise.all([
+			this.endStage('registration ended', this.kernel.get(MembershipService).leave(signal)),
+			this.endStage('peer connections closed', Promise.race([this.kernel.get(PeerService).close(), delay(peerCloseMs)])),
+		]);
 	}
 
 	/** Logs when a stage of a stop is over, so that the one which holds it up shows. */
--- a/standins/platform/test/relay-node.test.ts
+++ b/standins/platform/test/relay-node.test.ts
@@ -246,3 +246,18 @@
 	t.is(catalogue.backend.misdirected, 1);
 	t.is(catalogue.backend.runs.length, 0);
 });
+
+test('a stopping node lets others use its backend server until its own callers have left', async t => {
+	const {desk, catalogue} = await startPair(t);
+	const stopped = catalogue.node.stop();
+	const beganAtMs = performance.now();
+	let served = 0;
+	// Callers need two misses of a question asked once a second.
+	while (performance.now() - beganAtMs < 1800) {
+		t.like(await send(desk.node.ports.outbound, {host: 'a.example', path: '/read/x', id: `r${served++}`}), {status: 200});
+		await sleep(50);
+	}
+
+	await stopped;
+	t.like(await send(desk.node.ports.outbound, {host: 'a.example', path: '/read/x', id: 'late'}), {status: 503});
+});
