Bound all bytes that a backend server in trouble sends, not only single bodies

Bytes that are no answer may come without end. Heads were bounded; sizes of chunks, trailers and interim answers were not, and each connection could hold 64 MiB of a body. What is no body is bounded for each answer now, and what is held of all answers that are not whole yet together.

--- a/src/services/outbound/body-budget.ts
+++ b/src/runtime/http/body-budget.ts
@@ -2,7 +2,7 @@
 import {KumquatlineError} from '../../base/kumquatline-error.js';
 import {type BodyShare} from './body-share.js';
 
-/** Bounds what a node holds of callers' bodies in all; a single one is never refused for it, however large it may be. */
+/** Bounds what a node holds of bodies in all; a single one is never refused for it, however large it may be. */
 export class BodyBudget {
 	private heldBytes = 0;
 
--- a/src/services/exchange/answer-parser.ts
+++ b/src/services/exchange/answer-parser.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import {type BodyShare} from '../../runtime/http/body-share.js';
 import {StrictHttpParser} from './strict-http-parser.js';
 
 export type ParsedAnswer = {
@@ -11,6 +12,10 @@
 
 type Head = Pick<ParsedAnswer, 'status' | 'headers' | 'keepsAlive'>;
 
+/** Most bytes of an answer that are no body: heads, interim answers included, sizes of chunks and trailers. */
+const maxFramingBytes = 131_072;
+/** Bytes of framing that each byte of a body may have besides: chunks of a single byte take five. */
+const framingPerBodyByte = 8;
 /** Statuses below are interim: the answer itself follows. */
 const firstFinalStatus = 200;
 
@@ -20,10 +25,11 @@
 	private head: Head | undefined;
 	private chunks: Uint8Array[] = [];
 	private bodyBytes = 0;
+	private receivedBytes = 0;
 	private skipsBody = false;
 	private hasBegun = false;
 
-	constructor(private readonly maxBodyBytes: number, private readonly onAnswer: (answer: ParsedAnswer) => void) {
+	constructor(private readonly maxBodyBytes: number, private readonly share: BodyShare, private readonly onAnswer: (answer: ParsedAnswer) => void) {
 		this.parser.onHeadersComplete = ({statusCode, headers, shouldKeepAlive}) => {
 			checkLength(headers);
 			this.head = {status: statusCode, headers, keepsAlive: shouldKeepAlive};
@@ -52,10 +58,15 @@
 	/** Takes bytes; throws when they are no answer or one that is too long. */
 	push(bytes: Uint8Array): void {
 		this.hasBegun = true;
+		this.receivedBytes += bytes.length;
 		const result = this.parser.execute(bytes);
 		if (typeof result !== 'number') {
 			throw result;
 		}
+
+		if (this.receivedBytes - this.bodyBytes > maxFramingBytes + (this.bodyBytes * framingPerBodyByte)) {
+			throw new Error(`more than ${maxFramingBytes} bytes that are no body`);
+		}
 	}
 
 	/** The other end has finished sending in good order: the end of a body without a length. */
@@ -72,6 +83,7 @@
 			throw new Error(`the answer is longer than ${this.maxBodyBytes} bytes`);
 		}
 
+		this.share.take(bytes.length);
 		this.chunks.push(bytes);
 	}
 
@@ -80,8 +92,10 @@
 		this.head = undefined;
 		this.chunks = [];
 		this.bodyBytes = 0;
-		this.hasBegun = false;
+		this.share.dispose();
 		if (head && head.status >= firstFinalStatus) {
+			this.receivedBytes = 0;
+			this.hasBegun = false;
 			this.onAnswer({...head, body: chunks.length === 1 ? chunks[0] : Buffer.concat(chunks)});
 		}
 	}
--- a/src/services/exchange/exchange-connection.ts
+++ b/src/services/exchange/exchange-connection.ts
@@ -3,6 +3,7 @@
 import {Deferred} from '../../base/deferred.js';
 import {ErrorKind} from '../../base/error-kind.js';
 import {KumquatlineError} from '../../base/kumquatline-error.js';
+import {type BodyShare} from '../../runtime/http/body-share.js';
 import {type HeaderNames} from '../../runtime/http/header-names.js';
 import {findHeader} from '../../runtime/http/find-header.js';
 import {AnswerParser, type ParsedAnswer} from './answer-parser.js';
@@ -24,6 +25,8 @@
 	readonly port: number;
 	readonly connectTimeoutMs: number;
 	readonly maxAnswerBytes: number;
+	/** Counts what is held of answers that are not whole yet. */
+	readonly share: BodyShare;
 };
 
 /** One connection to the VM's backend server, with one request at a time. */
@@ -38,8 +41,8 @@
 	private isOpen = true;
 	private isCondemned = false;
 
-	constructor(options: ConnectionOptions, private readonly names: HeaderNames) {
-		this.parser = new AnswerParser(options.maxAnswerBytes, answer => {
+	constructor(private readonly options: ConnectionOptions, private readonly names: HeaderNames) {
+		this.parser = new AnswerParser(options.maxAnswerBytes, options.share, answer => {
 			this.receive(answer);
 		});
 		this.socket = connect({
@@ -201,6 +204,7 @@
 		}
 
 		this.isOpen = false;
+		this.options.share.dispose();
 		this.socket.destroy();
 		this.connected.reject(new KumquatlineError(ErrorKind.BackendUnreachable, `the backend server: ${reason}`, {started: false}));
 		this.pending?.answer.reject(new KumquatlineError(kind, `the backend server: ${reason}`));
--- a/src/services/exchange/pooled-exchange-service.ts
+++ b/src/services/exchange/pooled-exchange-service.ts
@@ -1,6 +1,7 @@
 import {type Disposable} from '../../base/disposable.js';
 import {ErrorKind} from '../../base/error-kind.js';
 import {KumquatlineError} from '../../base/kumquatline-error.js';
+import {BodyBudget} from '../../runtime/http/body-budget.js';
 import {HeaderNames} from '../../runtime/http/header-names.js';
 import {MetricsService} from '../../runtime/metrics/metrics-service.js';
 import {RelaySettingsService} from '../../runtime/settings/relay-settings-service.js';
@@ -14,7 +15,7 @@
 
 /** A backend server on the same VM takes a connection in a millisecond or two; one that doesn't is gone or full. */
 const connectTimeoutMs = 500;
-/** Bound on a single answer, for the node's memory. */
+/** Bound on a single answer, and on what is held of all that are not whole yet, for the node's memory. */
 const maxAnswerBytes = 67_108_864;
 const misdirectedStatus = 421;
 /** Statuses by which callers understand that a request has not run, which only a marked refusal of the backend server means. */
@@ -24,6 +25,7 @@
 export class PooledExchangeService implements ExchangeService, Disposable {
 	private readonly idle: ExchangeConnection[] = [];
 	private readonly busy = new Set<ExchangeConnection>();
+	private readonly answers = new BodyBudget(maxAnswerBytes);
 
 	constructor(
 		@RelaySettingsService private readonly settings: RelaySettingsService,
@@ -64,7 +66,7 @@
 		const {backendHost, backendPort} = this.settings.relay;
 		this.metrics.count('exchange.connections');
 		const connection = new ExchangeConnection({
-			host: backendHost, port: backendPort, connectTimeoutMs, maxAnswerBytes,
+			host: backendHost, port: backendPort, connectTimeoutMs, maxAnswerBytes, share: this.answers.open(),
 		}, this.names);
 		try {
 			await connection.whenConnected();
--- a/src/services/exchange/test/pooled-exchange-service.test.ts
+++ b/src/services/exchange/test/pooled-exchange-service.test.ts
@@ -1,4 +1,5 @@
 import {setTimeout as sleep} from 'node:timers/promises';
+import {type Socket} from 'node:net';
 import test from 'ava';
 import {answerTo, openRawBackend} from './raw-backend.js';
 
@@ -160,3 +161,60 @@
 	});
 	t.like(await t.throwsAsync(exchange('r1')), {kind: 'backend-failed'});
 });
+
+/** Sends a text over and over until the other end has had enough or so many bytes have gone out; returns how many did. */
+async function pourEndlessly(socket: Socket, text: string, maxBytes: number): Promise<number> {
+	const block = text.repeat(Math.ceil(65_536 / text.length));
+	let sentBytes = 0;
+	while (!socket.destroyed && sentBytes < maxBytes) {
+		sentBytes += block.length;
+		if (!socket.write(block)) {
+			await new Promise<void>(resolve => {
+				const go = () => {
+					socket.off('drain', go);
+					socket.off('close', go);
+					resolve();
+				};
+
+				socket.on('drain', go);
+				socket.on('close', go);
+			});
+		}
+	}
+
+	return sentBytes;
+}
+
+const startOfAnswer = 'HTTP/1.1 200 OK\r\nid: r1\r\nsignature: s\r\n';
+const endlessBytes = new Map<string, readonly [start: string, repeated: string, maxBytes: number]>([
+	['a head without a line end', ['HTTP/1.1 200 ', 'x', 4_000_000]],
+	['lines of a head', [startOfAnswer, 'a: b\r\n', 4_000_000]],
+	['interim answers', ['', 'HTTP/1.1 100 Continue\r\n\r\n', 4_000_000]],
+	['the size of a chunk', [`${startOfAnswer}transfer-encoding: chunked\r\n\r\n`, '1;', 4_000_000]],
+	['trailers', [`${startOfAnswer}transfer-encoding: chunked\r\n\r\n0\r\n`, 'a: b\r\n', 4_000_000]],
+	['a body without a length', [`${startOfAnswer}\r\n`, 'x', 200_000_000]],
+	['a body in chunks', [`${startOfAnswer}transfer-encoding: chunked\r\n\r\n`, '1000\r\n'.padEnd(4102, 'x') + '\r\n', 200_000_000]],
+]);
+for (const [name, [start, repeated, maxBytes]] of endlessBytes) {
+	test.serial(`bytes without end as ${name} end the connection`, async t => {
+		let sentBytes = 0;
+		const {exchange} = await openRawBackend(t, async socket => {
+			socket.write(start);
+			sentBytes = await pourEndlessly(socket, repeated, maxBytes);
+		});
+		t.like(await t.throwsAsync(exchange('r1')), {kind: 'backend-failed'});
+		t.true(sentBytes < maxBytes, `${sentBytes} bytes`);
+	});
+}
+
+test.serial('bodies without end on several connections are bounded together', async t => {
+	let sentBytes = 0;
+	const {exchange} = await openRawBackend(t, async socket => {
+		socket.write(`${startOfAnswer}\r\n`);
+		sentBytes += await pourEndlessly(socket, 'x', 200_000_000);
+	});
+	const results = await Promise.allSettled(Array.from({length: 4}, async () => exchange('r1')));
+	t.true(results.every(({status}) => status === 'rejected'));
+	// Twice the bound on one answer, as the sockets hold some as well; four times would be each by itself.
+	t.true(sentBytes < (2 * 67_108_864) + 16_000_000, `${sentBytes} bytes`);
+});
