Relieve an upstream that has no processor left by other zones before work is refused

At 48 s one of three armoury nodes reports that it admits 0.11 of the work, the others 0.98 and all.

Cause: the node of the own zone was preferred while its backend server had free slots (13 of 174), although the node itself had no processor time left; entries of that zone heard of no other, and passed its share on as the service's.

An upstream that asks for more than a tenth of its work to be refused counts as full for the choice of a zone, and its share lengthens the time that is expected of it. The test failed before.

--- a/src/services/relay/test/upstream-chooser.test.ts
+++ b/src/services/relay/test/upstream-chooser.test.ts
@@ -94,3 +94,33 @@
 	t.true(counts.near > counts.far && counts.near > counts.farther);
 	t.true(counts.far > 10 && counts.farther > 10);
 });
+
+test('an upstream that refuses work although it has free slots is relieved by other zones, which are left again when it takes all', t => {
+	const clock = install();
+	t.teardown(() => {
+		clock.uninstall();
+	});
+	const near = member('near', 'zone-a');
+	const far = member('far', 'zone-b');
+	const chooser = openChooser([near, far]);
+	const count = (threshold: number) => {
+		const counts = {near: 0, far: 0};
+		for (let index = 0; index < 100; index++) {
+			clock.tick(10);
+			const chosen = chooser.choose('s', () => true)!;
+			counts[chosen.nodeId as 'near' | 'far']++;
+			chooser.noteEnd(chosen, {
+				elapsedMs: 20, succeeded: true, load: {
+					inFlight: 1, limit: 10, queued: 0, queueWaitMs: 0, threshold: chosen === near ? threshold : 0,
+				},
+			});
+		}
+
+		return counts;
+	};
+
+	t.deepEqual(count(0), {near: 100, far: 0});
+	t.true(count(0.8).far > 80);
+	clock.tick(3000);
+	t.true(count(0).near > 80);
+});
--- a/src/services/relay/upstream-chooser.ts
+++ b/src/services/relay/upstream-chooser.ts
@@ -13,6 +13,8 @@
 const fullShare = 0.85;
 /** Share of failures above which an upstream of another zone is worth the way. */
 const failingShare = 0.3;
+/** Share of its work that an upstream has refused from which on other zones are worth their way: its node may be busy while it has free slots. */
+const refusingShare = 0.1;
 /** Share of failures from which on an upstream is passed over while another is sound. */
 const unsoundShare = 0.5;
 /** Share of the usual answer time that is expected of an upstream without news: low enough that it is tried, high enough that it isn't flooded. */
@@ -21,6 +23,8 @@
 const draws = 3;
 /** How much longer an upstream of the own zone may be expected to take than one of another: bytes between zones are dear. */
 const zoneAdvantage = 1.4;
+/** Least share by which the expected time is divided. */
+const leastAdmittedShare = 0.05;
 /** How strongly work beyond the limit counts: it waits for a whole run or more. */
 const overfullFactor = 4;
 
@@ -156,7 +160,7 @@
 	}
 
 	private hasRoom(member: Member): boolean {
-		return this.utilisation(member) < fullShare && this.recordOf(member).health.failureShare < failingShare;
+		return this.utilisation(member) < fullShare && this.recordOf(member).health.failureShare < failingShare && this.refusedShare(member) < refusingShare;
 	}
 
 	/** Time until an answer, with what failing costs. */
@@ -164,13 +168,24 @@
 		const {health} = this.recordOf(member);
 		const surplus = Math.max(0, this.utilisation(member) - fullShare);
 		const successShare = 1 - health.failureShare;
-		return health.meanMs(usualMs) * (1 + this.utilisation(member) + (overfullFactor * surplus)) / (successShare * successShare);
+		const admittedShare = Math.max(leastAdmittedShare, 1 - this.refusedShare(member));
+		return health.meanMs(usualMs) * (1 + this.utilisation(member) + (overfullFactor * surplus)) / (successShare * successShare * admittedShare);
+	}
+
+	/** Share of the work for it that an upstream asks to be refused. */
+	private refusedShare(member: Member): number {
+		return this.freshLoadOf(member)?.threshold ?? 0;
+	}
+
+	private freshLoadOf(member: Member): UpstreamLoad | undefined {
+		const {load, heardAtMs} = this.recordOf(member);
+		return performance.now() - heardAtMs < loadLifetimeMs ? load : undefined;
 	}
 
 	private utilisation(member: Member): number {
-		const {load, inFlight, begunSinceHeard, heardAtMs} = this.recordOf(member);
-		const isFresh = performance.now() - heardAtMs < loadLifetimeMs;
-		const work = load && isFresh ? Math.max(inFlight, load.inFlight + load.queued + begunSinceHeard) : inFlight;
+		const {inFlight, begunSinceHeard} = this.recordOf(member);
+		const load = this.freshLoadOf(member);
+		const work = load ? Math.max(inFlight, load.inFlight + load.queued + begunSinceHeard) : inFlight;
 		return work / this.limitOf(member);
 	}
 
