--- a/src/services/relay/upstream-chooser.ts
+++ b/src/services/relay/upstream-chooser.ts
@@ -168,8 +168,9 @@
 		const {health} = this.recordOf(member);
 		const surplus = Math.max(0, this.utilisation(member) - fullShare);
 		const successShare = 1 - health.failureShare;
-		const admittedShare = Math.max(leastAdmittedShare, 1 - this.refusedShare(member));
-		return health.meanMs(usualMs) * (1 + this.utilisation(member) + (overfullFactor * surplus)) / (successShare * successShare * admittedShare);
+		// Its root, as loads are up to two seconds old: a stronger pull would send everyone to the same upstream.
+		const admittedPull = Math.sqrt(Math.max(leastAdmittedShare, 1 - this.refusedShare(member)));
+		return health.meanMs(usualMs) * (1 + this.utilisation(member) + (overfullFactor * surplus)) / (successShare * successShare * admittedPull);
 	}
 
 	/** Share of the work for it that an upstream asks to be refused. */
