--- a/src/runtime/peer/peer-connection.ts
+++ b/src/runtime/peer/peer-connection.ts
@@ -203,7 +203,7 @@
 		void this.answer(payload);
 	}
 
-	/** A response that nobody waits for is no sign of life either: it may be meant for another connection. */
+	/** A response to no outstanding call is no sign of life either: it may be meant for another connection. */
 	private receiveResponse(response: JSONRPCResponse): void {
 		if (!this.pending.has(String(response.id))) {
 			this.options.metrics.count('peer.unknown_replies');
--- a/src/runtime/peer/peer-link.ts
+++ b/src/runtime/peer/peer-link.ts
@@ -52,7 +52,7 @@
 		}
 	}
 
-	/** Tells the peer that nobody waits for a call any more. */
+	/** Tells the peer that the caller of a call has disconnected. */
 	cancel(call: LinkCall): void {
 		if (call.sent) {
 			this.connection?.notify('cancel', {id: call.id, timeoutMs: call.endsAtMs - performance.now()});
--- a/src/services/admission/delay-threshold-service.ts
+++ b/src/services/admission/delay-threshold-service.ts
@@ -7,8 +7,13 @@
 const lowestTargetMs = 20;
 /** Standing delay that keeps a backend server busy, in relation to its own time. */
 const targetShareOfOwnTime = 1;
-/** Rise in an interval for a delay that is above the target by the target itself. */
+/** Rise in an interval for a delay that is above the target by the target itself, and the greatest. */
 const gain = 0.1;
+const largestRise = 0.4;
+/** Fall in an interval without standing delay. */
+const probe = 0.05;
+/** Part of the threshold that falls away in an interval in which the backend server had room all the time. */
+const roomDecay = 0.85;
 /** Room that a full backend server has by chance. */
 const chanceRoomShare = 0.1;
 const negligible = 0.02;
@@ -24,7 +29,6 @@
 	private intervalFromMs = performance.now();
 	private observedAtMs = performance.now();
 	private leastDelayMs = Number.POSITIVE_INFINITY;
-	private lastDelayMs = 0;
 	private fullMs = 0;
 	private last: QueueState = {oldestWaitMs: 0, isFull: false, ownTimeMs: 0};
 
@@ -46,38 +50,14 @@
 		}
 	}
 
-	/** Greatest rise in an interval. */
-	protected get largestRise(): number {
-		return 0.4;
-	}
-
-	/** Fall in an interval without standing delay. */
-	protected get probe(): number {
-		return 0.05;
-	}
-
-	/** Whether the threshold stays while the standing delay falls. */
-	protected get waitsForDraining(): boolean {
-		return false;
-	}
-
-	/** Part of the threshold that falls away in an interval in which the backend server had room all the time. */
-	protected get roomDecay(): number {
-		return 0.85;
-	}
-
 	/** Acts on the time since the last interval ended, which is several intervals when nothing was observed. */
 	private endIntervals(passedMs: number, count: number): void {
 		const roomShare = Math.max(0, 1 - (this.fullMs / passedMs) - chanceRoomShare);
 		const targetMs = Math.max(lowestTargetMs, this.last.ownTimeMs * targetShareOfOwnTime);
 		const excess = (this.leastDelayMs - targetMs) / targetMs;
-		const isRising = this.leastDelayMs >= this.lastDelayMs;
-		this.lastDelayMs = this.leastDelayMs;
-		// A queue that grows shorter shows that enough is refused already.
-		const mayRise = isRising || !this.waitsForDraining;
-		if (excess > 0 && mayRise) {
-			this.value = Math.min(highestThreshold, this.value + Math.min(this.largestRise, gain * excess));
-		} else if (excess <= 0) {
+		if (excess > 0) {
+			this.value = Math.min(highestThreshold, this.value + Math.min(largestRise, gain * excess));
+		} else {
 			this.lower(roomShare, Math.min(count, caughtUpIntervals));
 		}
 
@@ -88,7 +68,7 @@
 
 	private lower(roomShare: number, intervals: number): void {
 		for (let index = 0; index < intervals; index++) {
-			this.value = (this.value * (1 - (this.roomDecay * roomShare))) - this.probe;
+			this.value = (this.value * (1 - (roomDecay * roomShare))) - probe;
 		}
 
 		this.value = this.value < negligible ? 0 : this.value;
--- a/src/services/admission/queue-admission-service.ts
+++ b/src/services/admission/queue-admission-service.ts
@@ -142,7 +142,7 @@
 		});
 	}
 
-	/** Deeper work passed the entry under a threshold that may have risen since; what is paid for it is not thrown away lightly. */
+	/** Deeper work passed the entry under a threshold that may have risen since; its failure wastes the work already done for the parent request. */
 	private admits(context: CallContext): boolean {
 		const {threshold} = this.threshold;
 		return admitsAt(context.depth > 1 ? threshold - paidAllowance : threshold, context);
--- a/src/services/admission/waiting-queue.ts
+++ b/src/services/admission/waiting-queue.ts
@@ -1,7 +1,7 @@
 import {importanceRanks} from '../policy/importance-ranks.js';
 import {type WaitingWork} from './waiting-work.js';
 
-/** Bounded queue: the most important first, then the deepest (most is paid for it already), then the earliest deadline. */
+/** Bounded queue: the most important first, then the deepest (most work has been done for its parents), then the earliest deadline. */
 export class WaitingQueue {
 	private readonly items: WaitingWork[] = [];
 
--- a/src/services/calls/drop-method.ts
+++ b/src/services/calls/drop-method.ts
@@ -5,5 +5,5 @@
 	readonly callId: string;
 };
 
-/** Drops a call that still waits to begin at the receiving node, because nobody waits for its answer; what has begun goes on. */
+/** Drops a call that still waits to begin at the receiving node, because its caller has disconnected; what has begun goes on. */
 export const dropMethod = new PeerMethod<DropParams, Record<string, never>>('drop');
--- a/src/services/calls/upstream-service.ts
+++ b/src/services/calls/upstream-service.ts
@@ -9,7 +9,7 @@
 	readonly exclude: ReadonlySet<string>;
 	/** Called in the tick before the bytes leave; throws to stop the sending. */
 	readonly onWillSend?: (nodeId: string) => void;
-	/** Aborted when nobody waits for the answer: work that has not begun is dropped, what has begun goes on and is still reported. */
+	/** Aborted when the caller has disconnected: work that has not begun is dropped, what has begun goes on and is still reported. */
 	readonly unwanted?: AbortSignal;
 };
 
--- a/src/services/exchange/answer-parser.ts
+++ b/src/services/exchange/answer-parser.ts
@@ -69,7 +69,7 @@
 		}
 	}
 
-	/** The other end has finished sending in good order: the end of a body without a length. */
+	/** The connection was closed cleanly: the end of a body without a length. */
 	finish(): void {
 		const failure = this.parser.finish();
 		if (failure) {
--- a/src/services/exchange/exchange-connection.ts
+++ b/src/services/exchange/exchange-connection.ts
@@ -177,7 +177,7 @@
 			return;
 		}
 
-		// A reset that comes with the last bytes is reported as an end in good order; only a write tells the two apart.
+		// A reset that comes with the last bytes is reported as a clean close; only a write tells the two apart.
 		this.socket.write('\r\n', error => {
 			if (error) {
 				this.fail('the connection was reset');
--- a/src/services/relay/early-refusal.ts
+++ b/src/services/relay/early-refusal.ts
@@ -15,7 +15,7 @@
 const highestRank = 4;
 /** Advance within a class of requests that need a service once: they get more done with what it can do than those that need it many times. */
 const singleCallAdvance = 0.5;
-/** Advance within that of requests whose callers have waited since a refusal: being refused again is worse than once. */
+/** Advance within that of retrying callers that were refused before: being refused again is worse than once. */
 const waitedAdvance = 0.25;
 /** Part of the rank by which the requests of a kind differ, in the same way at every entry. */
 const shareWeight = 0.25;
@@ -108,7 +108,7 @@
 		}
 	}
 
-	/** Share of the work for a service that its nodes admit, by the waits in their queues. */
+	/** Share of the work for a service that its nodes admit, by what they are offered. */
 	private queueShareOf(name: string): number {
 		return 1 - this.callGraph.thresholdOf(name);
 	}
--- a/src/services/relay/mesh-relay-service.ts
+++ b/src/services/relay/mesh-relay-service.ts
@@ -30,7 +30,7 @@
 const maxDetours = 6;
 /** Full queues after which the others are taken to be full as well: load is spread over them alike. */
 const maxFullQueues = 1;
-/** Sends of one request that upstreams may refuse without being full: six leave one in thirty where half are refused. */
+/** Most refusals of one request by upstreams that are not full: where half are refused, one request in 64 is left. */
 const maxSheds = 6;
 /** Share of its limit from which on an upstream that refuses is taken to be full. */
 const fullShare = 0.85;
@@ -48,10 +48,10 @@
 /** Outcome, in the counters, of requests for which no upstream was tried. */
 const notSent = 'not-sent';
 const firstFailureStatus = 500;
-/** The backend server's word that the time is over, after which no other has time either. */
+/** A 504 from the backend server: the time is over, so no other upstream has any left. */
 const timeOverStatus = 504;
 
-/** How one upstream fared with a request. */
+/** Outcome of one attempt at an upstream. */
 type Attempt = {
 	readonly nodeId: string;
 	readonly failure?: KumquatlineError;
@@ -206,7 +206,7 @@
 				nodeId, failure, offered: failure.started !== false, isShedWithRoom: false,
 			};
 		} finally {
-			this.chooser.noteEnd(member, {load: reply?.load, elapsedMs: performance.now() - beganAtMs, succeeded: isSuccess(reply)});
+			this.chooser.recordOutcome(member, {load: reply?.load, elapsedMs: performance.now() - beganAtMs, succeeded: isSuccess(reply)});
 		}
 	}
 
--- a/src/services/relay/offered-work.ts
+++ b/src/services/relay/offered-work.ts
@@ -21,7 +21,7 @@
 const latestWeight = 0.4;
 /**
 Change of the share's logarithm in a second, for an offered utilisation that is off by a factor of e. A root that is admitted shows in
-arrivals after up to a second in deep chains; twice the gain would make the share swing.
+arrivals after up to a second in deep chains; twice the gain would make it oscillate.
 */
 const gainPerSecond = 1;
 /** Bounds of the factor that offered and aimed-at utilisation are taken to differ by, as a logarithm. */
--- a/src/services/relay/relay-request.ts
+++ b/src/services/relay/relay-request.ts
@@ -13,7 +13,7 @@
 	readonly priority: number;
 	/** Whether the caller has been waiting since an earlier attempt that was refused. */
 	readonly hasWaited: boolean;
-	/** Whether a running request makes this call; what is paid for that one is lost if it fails. */
+	/** Whether a running request makes this call; its failure wastes the work already done for the parent request. */
 	readonly isInner: boolean;
 	readonly body?: Uint8Array;
 };
--- a/src/services/relay/slot-queue.ts
+++ b/src/services/relay/slot-queue.ts
@@ -158,7 +158,7 @@
 	}
 }
 
-/** Place of work in the queue: when it came, put off for each step of priority and brought forward for what is paid for it already. */
+/** Place of work in the queue: when it came, put off for each step of priority and brought forward for the work already done for its parent request. */
 function orderOf({
 	share, isInner, hasWaited, priority,
 }: QueuedWork, enqueuedAtMs: number): number {
@@ -169,7 +169,7 @@
 		- (hasWaited ? waitedAdvanceMs : 0);
 }
 
-/** What work that leaves the queue early is told: its time is over, or nobody waits for it. */
+/** What work that leaves the queue early is told: its time is over, or the caller has disconnected. */
 function endOfWait({reason}: AbortSignal, place: string): KumquatlineError {
 	const kind = reason instanceof KumquatlineError ? reason.kind : ErrorKind.CallerGone;
 	return new KumquatlineError(kind, `given up ${place}`, {started: false});
--- a/src/services/relay/test/upstream-chooser.test.ts
+++ b/src/services/relay/test/upstream-chooser.test.ts
@@ -20,7 +20,7 @@
 	for (let index = 0; index < count; index++) {
 		const chosen = chooser.choose('s', () => true)!;
 		counts[chosen.nodeId] = (counts[chosen.nodeId] ?? 0) + 1;
-		chooser.noteEnd(chosen, outcomeOf(chosen.nodeId));
+		chooser.recordOutcome(chosen, outcomeOf(chosen.nodeId));
 	}
 
 	return counts;
@@ -109,7 +109,7 @@
 			clock.tick(10);
 			const chosen = chooser.choose('s', () => true)!;
 			counts[chosen.nodeId as 'near' | 'far']++;
-			chooser.noteEnd(chosen, {
+			chooser.recordOutcome(chosen, {
 				elapsedMs: 20, succeeded: true, load: {
 					inFlight: 1, limit: 10, queued: 0, queueWaitMs: 0, threshold: chosen === near ? threshold : 0,
 				},
--- a/src/services/relay/upstream-chooser.ts
+++ b/src/services/relay/upstream-chooser.ts
@@ -13,7 +13,7 @@
 const fullShare = 0.85;
 /** Share of failures above which an upstream of another zone is worth the way. */
 const failingShare = 0.3;
-/** Share of its work that an upstream has refused from which on other zones are worth their way: its node may be busy while it has free slots. */
+/** Share of its work that an upstream asks to be refused from which on other zones are worth the detour: its node may be busy while it has free slots. */
 const refusingShare = 0.1;
 /** Share of failures from which on an upstream is passed over while another is sound. */
 const unsoundShare = 0.5;
@@ -21,7 +21,7 @@
 const newcomerShare = 0.5;
 /** Candidates that are compared: services have few upstreams, of very different speeds. */
 const draws = 3;
-/** How much longer an upstream of the own zone may be expected to take than one of another: bytes between zones are dear. */
+/** How much longer an upstream of the own zone may be expected to take than one of another: traffic between zones is expensive. */
 const zoneAdvantage = 1.4;
 /** Least share by which the expected time is divided. */
 const leastAdmittedShare = 0.05;
@@ -51,7 +51,7 @@
 		private readonly random: RandomGenerator,
 	) {}
 
-	/** Chooses an upstream among those allowed and counts a request in flight to it until `noteEnd`; undefined when there is none. */
+	/** Chooses an upstream among those allowed and counts a request in flight to it until `recordOutcome`; undefined when there is none. */
 	choose(service: string, isAllowed: (member: Member) => boolean): Member | undefined {
 		const candidates = this.membership.upstreams(service).filter(member => isAllowed(member));
 		const near = candidates.filter(member => member.availabilityZone === this.availabilityZone);
@@ -67,7 +67,7 @@
 	}
 
 	/** Ends a request in flight. */
-	noteEnd(member: Member, {load, elapsedMs, succeeded}: UpstreamOutcome): void {
+	recordOutcome(member: Member, {load, elapsedMs, succeeded}: UpstreamOutcome): void {
 		const record = this.recordOf(member);
 		record.inFlight--;
 		record.health.note(succeeded, elapsedMs);
@@ -116,7 +116,7 @@
 		}
 	}
 
-	/** The best of all zones if it is clearly better than the best of the own: when all are full the way to another zone is in vain. */
+	/** The best of all zones if it is clearly better than the best of the own: when all are full the detour only adds latency. */
 	private pickAnywhere(candidates: readonly Member[], near: readonly Member[]): Member | undefined {
 		const best = this.pick(candidates);
 		const nearest = this.pick(near);
--- a/src/services/relay/upstream-health.ts
+++ b/src/services/relay/upstream-health.ts
@@ -5,7 +5,7 @@
 /** A share of failures never counts as certain. */
 const maxFailureShare = 0.95;
 
-/** How an upstream has fared of late, as one node has seen it. */
+/** Recent outcomes at an upstream, as one node has seen them. */
 export class UpstreamHealth {
 	private mean: number | undefined;
 	private share = 0;
