Log where a policy version comes from and when it was announced

The logs told only when a version came into force, so they could not tell apart: no announcement arrived, it arrived and was not acted on, or the fetch from the peer took long.

Adds the first announcement of each version with its peer, failed fetches at level info, the source of a version in force and the time since its announcement, and the policy version of a member whose record changed. No decision changes.

--- a/src/services/policy/policy-fetcher.ts
+++ b/src/services/policy/policy-fetcher.ts
@@ -25,7 +25,7 @@
 type FetcherOptions = {
 	readonly timeoutMs: number;
 	readonly known: () => Policy | undefined;
-	readonly onDidFetch: (policy: Policy, modRevision: number) => void;
+	readonly onDidFetch: (policy: Policy, modRevision: number, peer: PeerAddress) => void;
 	readonly onDidFail: (peer: PeerAddress, error: unknown) => void;
 };
 
@@ -115,7 +115,7 @@
 			throw new Error(`node ${peer.nodeId} has only version ${update.version} of the policy`);
 		}
 
-		this.options.onDidFetch(policy, update.modRevision);
+		this.options.onDidFetch(policy, update.modRevision, peer);
 	}
 
 	private recordFailure(failed: Candidate): void {
--- a/src/services/policy/stored-policy-service.ts
+++ b/src/services/policy/stored-policy-service.ts
@@ -51,6 +51,9 @@
 	private policy: Policy | undefined;
 	/** Revision of the store's key that holds the policy in force; 0 if unknown. */
 	private modRevision = 0;
+	/** Highest version that a peer has announced, and when. */
+	private announcedVersion = 0;
+	private announcedAtMs = 0;
 	private watch: Disposable | undefined;
 
 	constructor(
@@ -63,16 +66,16 @@
 		this.onDidChange = this.changeEmitter.event;
 		this.random = createRandom(seed, `${nodeId}/policy`);
 		this.writer = new PolicyWriter(store, () => this.createBackoff(), () => this.version, ({policy, modRevision}) => {
-			this.adoptPolicy(policy, modRevision);
+			this.adoptPolicy(policy, modRevision, 'write');
 		});
 		this.fetcher = this.disposables.add(new PolicyFetcher(peers, this.random, {
 			timeoutMs: probeAfterMs + abandonAfterMs,
 			known: () => this.policy,
-			onDidFetch: (policy, modRevision) => {
-				this.adoptPolicy(policy, modRevision);
+			onDidFetch: (policy, modRevision, peer) => {
+				this.adoptPolicy(policy, modRevision, peer.nodeId);
 			},
 			onDidFail: (peer, error) => {
-				this.log.debug('failed to fetch the policy from a peer', {peer: peer.nodeId, error: String(error)});
+				this.log.info('failed to fetch the policy from a peer', {peer: peer.nodeId, inForce: this.version, error: String(error)});
 			},
 		}));
 	}
@@ -133,6 +136,12 @@
 	}
 
 	recordPeerVersion(version: number, peer: PeerAddress): void {
+		if (version > Math.max(this.version, this.announcedVersion)) {
+			this.announcedVersion = version;
+			this.announcedAtMs = performance.now();
+			this.log.info('policy announced', {version, inForce: this.version, peer: peer.nodeId});
+		}
+
 		this.fetcher.recordPeerVersion(version, peer);
 	}
 
@@ -145,7 +154,7 @@
 		this.watch = watching
 			? this.store.watch(this.key, ({key, entry}) => {
 				if (key === this.key) {
-					this.adoptEntry(entry);
+					this.adoptEntry(entry, 'watch');
 				}
 			}, watchCheckIntervalMs)
 			: undefined;
@@ -166,7 +175,8 @@
 		return new Backoff(this.random, firstBackoffMs, backoffLimitMs);
 	}
 
-	private adoptPolicy(policy: Policy, modRevision: number): void {
+	/** Puts a policy in force if it is newer; `source` is the node id of the peer it comes from, or how it was read from the store. */
+	private adoptPolicy(policy: Policy, modRevision: number, source: string): void {
 		if (policy.version < this.version) {
 			return;
 		}
@@ -179,11 +189,14 @@
 		// A store that lost its data counts revisions from the start again: use the revision of this version, not the highest one seen.
 		this.modRevision = modRevision;
 		this.policy = policy;
-		this.log.info('policy in force', {version: policy.version});
+		const isAnnounced = policy.version === this.announcedVersion;
+		this.log.info('policy in force', {
+			version: policy.version, source, ...(isAnnounced && {sinceAnnouncedMs: Math.round(performance.now() - this.announcedAtMs)}),
+		});
 		this.changeEmitter.fire(policy);
 	}
 
-	private adoptEntry(entry: StoreEntry | undefined): void {
+	private adoptEntry(entry: StoreEntry | undefined, source: string): void {
 		if (!entry) {
 			this.log.error('the store holds no policy', {version: this.version});
 			return;
@@ -195,7 +208,7 @@
 				this.log.error('the store holds an earlier policy version than the one in force', {version: policy.version, inForce: this.version});
 			}
 
-			this.adoptPolicy(policy, entry.modRevision);
+			this.adoptPolicy(policy, entry.modRevision, source);
 		} catch (error) {
 			this.log.error('the store holds a policy that is not valid', {error: String(error)});
 		}
@@ -204,7 +217,7 @@
 	private async readStore(signal: AbortSignal): Promise<void> {
 		const entry = await this.store.getNewer(this.key, this.modRevision, signal);
 		if (entry) {
-			this.adoptEntry(entry);
+			this.adoptEntry(entry, 'read');
 		}
 	}
 
--- a/src/services/relay/mesh-relay-service.ts
+++ b/src/services/relay/mesh-relay-service.ts
@@ -86,9 +86,9 @@
 		this.budgets = new RetryBudgets(relaySettings, membership, callGraph, metrics);
 		this.earlyRefusal = new EarlyRefusal(callGraph, membership, log, this.random);
 		this.chooser = new UpstreamChooser(membership, settings.availabilityZone, this.random);
-		this.subscription = membership.onDidChange(({nodeId, state, service, slots, revision}) => {
+		this.subscription = membership.onDidChange(({nodeId, state, service, slots, policyVersion, revision}) => {
 			log.info('member changed', {
-				member: nodeId, state, service, slots, revision,
+				member: nodeId, state, service, slots, policyVersion, revision,
 			});
 			if (goneStates.has(state)) {
 				this.chooser.evict(nodeId);
