--- a/src/services/membership/test/gossip.test.ts
+++ b/src/services/membership/test/gossip.test.ts
@@ -180,6 +180,20 @@
 	t.is(fleet.states('node-7').filter(state => state === MemberState.Left).length, 30);
 });
 
+// A node that asked a member for its record got the version with the record, and then took the announced version for a known one.
+fleetTest('a policy version that arrives with a member record is adopted', async (t, fleet) => {
+	await fleet.addMany(2);
+	const [changed, other] = fleet.nodes;
+	fleet.network.isLost = () => true;
+	changed.policy.recordPeerVersion(2);
+	changed.membership.announce({...announcement, slots: 20});
+	await fleet.clock.tickAsync(600);
+	fleet.network.isLost = () => false;
+	await fleet.clock.tickAsync(2000);
+	t.is(other.membership.find('node-0')?.slots, 20);
+	t.is(other.policy.version, 2);
+});
+
 fleetTest('a draining node keeps gossiping after its start signal is aborted', async (t, fleet) => {
 	await fleet.addMany(20);
 	fleet.nodes[4].abortStart();
--- a/src/services/membership/test/membership-fixture.ts
+++ b/src/services/membership/test/membership-fixture.ts
@@ -34,7 +34,7 @@
 	};
 }
 
-class NetworkedMembership extends GossipMembershipService {
+export class NetworkedMembership extends GossipMembershipService {
 	network!: DatagramNetwork;
 
 	protected override async openSocket(): Promise<DatagramSocket> {
