Act on a policy version that arrives with a member record

Some callers got 404 or the old target of a route seconds after a change had been confirmed. A version was fetched only when a datagram named a higher one than the member's record held, so a record that already held it consumed the announcement. Records arrive like that whenever a node asks a member for its record, as it does while records change: after a mass start, a refuted suspicion, a restart. A version whose fetch had failed five times was not tried again either.

Class: an edge taken from state that other paths update too. Every datagram and new record of a member now reports its version, and the service compares it with the version in force. Failures of a peer are counted for as long as it announces the same version.

'a policy version that arrives with a member record is adopted' failed before (version 1 in force instead of 2) and passes.

--- a/src/services/membership/gossip-host.ts
+++ b/src/services/membership/gossip-host.ts
@@ -10,6 +10,6 @@
 	notifyChanged(member: Member): void;
 	/** Called when more updates are queued than gossip can broadcast within its byte budget. */
 	notifyBacklog(): void;
-	/** Called when a member is found to have a newer policy version than recorded for it. */
+	/** Called for every datagram and new record of a member, as the fetch of a version announced earlier may have failed. */
 	notifyPolicyVersion(member: Member): void;
 }
--- a/src/services/membership/gossiper.ts
+++ b/src/services/membership/gossiper.ts
@@ -100,6 +100,7 @@
 		const isNew = this.table.merge(member);
 		if (isNew) {
 			this.host.notifyChanged(member);
+			this.host.notifyPolicyVersion(member);
 		}
 
 		return isNew;
@@ -167,11 +168,12 @@
 	}
 
 	private recordPolicyVersion(message: GossipMessage, sender: Member): void {
-		if (message.policyVersion > sender.policyVersion) {
-			const member = {...sender, policyVersion: message.policyVersion};
+		const member = {...sender, policyVersion: Math.max(sender.policyVersion, message.policyVersion)};
+		if (member.policyVersion > sender.policyVersion) {
 			this.table.put(member);
-			this.host.notifyPolicyVersion(member);
 		}
+
+		this.host.notifyPolicyVersion(member);
 	}
 
 	private applyUpdate(update: MemberUpdate): void {
--- a/src/services/policy/policy-fetcher.ts
+++ b/src/services/policy/policy-fetcher.ts
@@ -50,7 +50,8 @@
 			return;
 		}
 
-		this.candidates.set(peer.nodeId, {version, peer, failures: 0});
+		const known = this.candidates.get(peer.nodeId);
+		this.candidates.set(peer.nodeId, {version, peer, failures: known?.version === version ? known.failures : 0});
 		if (!this.isRunning) {
 			void this.run();
 		}
@@ -120,8 +121,8 @@
 
 	private recordFailure(failed: Candidate): void {
 		const {nodeId} = failed.peer;
-		// Gossip has named this peer again meanwhile, so its failure count starts again at 0.
-		if (this.candidates.get(nodeId) !== failed) {
+		// The peer has announced a newer version meanwhile, so its failure count starts again at 0.
+		if (this.candidates.get(nodeId)?.version !== failed.version) {
 			return;
 		}
 
