Announce policy versions without waiting for the gossip byte budget

After a mass start a confirmed change reached some nodes only after more than 2 s.

Class: a small message of high urgency in the same budget as bulk data. Rounds that announce a version no longer wait for the budget.

Member records keep the budget: a drain may still wait behind them after a mass start.

--- a/src/services/membership/gossiper.ts
+++ b/src/services/membership/gossiper.ts
@@ -44,7 +44,8 @@
 	/** Runs gossip rounds until the signal is aborted. */
 	async run(signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
-			if (this.hasUpdates && this.channel.hasBudget) {
+			// A policy version takes a few empty datagrams, so it doesn't wait for the budget that member records may have spent.
+			if (this.remainingPolicyTransmissions > 0 || (this.hasUpdates && this.channel.hasBudget)) {
 				this.runRound();
 			}
 
