Renew waiting watches as soon as another call to the store gets no answer

A watch that waits can't tell a dead connection from a quiet store, so a change made after a short cut could be seen only at its next renewal.

Long polls are now aborted with the connections that they wait on and sent again at once. Such an abort says nothing about the store, so it changes nothing about its reachability.

--- a/src/platform/store/kv-connection.ts
+++ b/src/platform/store/kv-connection.ts
@@ -45,13 +45,15 @@
 Sends calls to the platform's store, each with a timeout.
 
 If a call gets no answer, later calls use new connections to the next URL: network devices on the path may have lost the state of the other
-connections too.
+connections too. Long polls, for which silence is normal, are then sent again at once.
 */
 export class KvConnection implements Disposable {
 	readonly onDidChangeReachability: Event<boolean>;
 	private readonly reachabilityEmitter = new Emitter<boolean>();
 	private urlIndex = 0;
 	private pool: Pool;
+	/** Aborts the long polls on the connections of `pool`. */
+	private longPolls = new AbortController();
 	private isReachable = false;
 	private isDisposed = false;
 
@@ -69,18 +71,18 @@
 		const {probeAfterMs, abandonAfterMs} = this.settings;
 		const longPollMs = options.longPollMs ?? 0;
 		if (!options.idempotent) {
-			return this.callOnce(request, probeAfterMs + abandonAfterMs, options.signal);
+			return this.callOnce(request, probeAfterMs + abandonAfterMs, options);
 		}
 
 		try {
-			return await this.callOnce(request, longPollMs + probeAfterMs, options.signal);
+			return await this.callOnce(request, longPollMs + probeAfterMs, options);
 		} catch (error) {
 			const isRefused = error instanceof KumquatlineError && error.started === false;
 			if (this.isDisposed || isRefused || options.signal?.aborted === true) {
 				throw error;
 			}
 
-			return this.callOnce(request, longPollMs + abandonAfterMs, options.signal);
+			return this.callOnce(request, longPollMs + abandonAfterMs, options);
 		}
 	}
 
@@ -90,15 +92,15 @@
 		void ignoreRejection(this.pool.destroy());
 	}
 
-	private async callOnce(request: KvRequest, timeoutMs: number, signal?: AbortSignal): Promise<KvAnswer> {
-		const {pool} = this;
-		const controller = new AbortController();
+	private async callOnce(request: KvRequest, timeoutMs: number, {signal, longPollMs}: CallOptions): Promise<KvAnswer> {
+		const {pool, longPolls} = this;
+		const timeout = new AbortController();
 		const timer = setTimeout(() => {
-			controller.abort();
+			timeout.abort();
 		}, timeoutMs);
-		const combinedSignal = signal ? AbortSignal.any([signal, controller.signal]) : controller.signal;
+		const cancellation = AbortSignal.any([...(signal ? [signal] : []), ...(longPollMs === undefined ? [] : [longPolls.signal])]);
 		try {
-			const answer = await this.send(pool, request, combinedSignal);
+			const answer = await this.send(pool, request, AbortSignal.any([cancellation, timeout.signal]));
 			if (refusalStatuses.has(answer.status)) {
 				throw new KumquatlineError(ErrorKind.StoreUnavailable, `the store refused ${request.path} with status ${answer.status}`, {started: false});
 			}
@@ -106,7 +108,7 @@
 			this.setReachable(true);
 			return answer;
 		} catch (error) {
-			this.handleFailure(pool, error, signal?.aborted === true);
+			this.handleFailure(pool, error, cancellation.aborted);
 			throw this.toError(request.path, error);
 		} finally {
 			clearTimeout(timer);
@@ -138,6 +140,8 @@
 
 		this.urlIndex = (this.urlIndex + 1) % this.settings.urls.length;
 		this.pool = this.openPool();
+		this.longPolls.abort();
+		this.longPolls = new AbortController();
 		// Calls that still wait on the old connections end by their own timeouts.
 		void ignoreRejection(pool.close());
 	}
--- a/standins/store/test/kv-store-service.test.ts
+++ b/standins/store/test/kv-store-service.test.ts
@@ -112,6 +112,26 @@
 	t.pass();
 });
 
+// A watch that died silently had no bound of its own but the time between its renewals.
+test('a watch on a silent connection is renewed as soon as another call gets no answer', async t => {
+	t.timeout(5000);
+	const {store, standIn} = await openStore(t);
+	await store.compareAndSwap('/w/a', 0, 'one');
+	const recorder = new WatchRecorder();
+	store.watch('/w/', recorder.listener, 30_000);
+	await recorder.waitFor('/w/a', 'one');
+	while (standIn.openWatches === 0) {
+		await sleep(pollMs);
+	}
+
+	standIn.setFaults({silent: true});
+	standIn.state.put('/w/a', 'two', undefined);
+	const read = await store.get('/w/a');
+	t.is(read?.value, 'two');
+	await recorder.waitFor('/w/a', 'two');
+	t.is(standIn.openWatches, 1);
+});
+
 test('a watch survives an outage and then reports the latest state', async t => {
 	const {store, standIn} = await openStore(t);
 	await store.compareAndSwap('/w/a', 0, 'one');
