Watch the policy at every node

At a few of 76 or 79 nodes a confirmed change was not in force in time: callers got 404 for a route that was there, or its old target. Only two nodes of an availability zone watched the store; for the others the time was bounded by gossip, a fetch from a peer and a poll after 30 to 90 s, which hold for most nodes and for none in particular.

Class: a bound that holds for the fleet on average is taken for a bound of each member. Every node now watches the key itself and renews the watch every 10 s instead of every second; announcements and fetches stay for nodes that the store turns away. The periodic poll goes, and with it the choice of who watches the policy.

Tests of fetches now use a node that the store turns away. The test of the poll and that of setWatching become one that asks for the version at once and still bounds the calls; the registrations' watchers are counted at the store.

--- a/prove/naive/any-event-policy-service.ts
+++ b/prove/naive/any-event-policy-service.ts
@@ -19,7 +19,7 @@
 
 const callTimeoutMs = 200;
 
-/** Naive variant of learning versions: adopts whatever version a watch or a peer reported last, and every node watches. */
+/** Naive variant of learning versions: adopts whatever version a watch or a peer reported last. */
 export class AnyEventPolicyService implements PolicyService, Disposable {
 	readonly onDidChange: Event<Policy>;
 	private readonly changeEmitter = new Emitter<Policy>();
@@ -78,10 +78,6 @@
 		}
 	}
 
-	setWatching(): void {
-		// Always watches.
-	}
-
 	dispose(): void {
 		this.watch?.dispose();
 		this.changeEmitter.dispose();
--- a/prove/policy/policy-mesh.ts
+++ b/prove/policy/policy-mesh.ts
@@ -6,7 +6,6 @@
 
 const zones = ['a', 'b'] as const;
 const nodesPerZone = 3;
-const watchersPerZone = 2;
 const gossipIntervalMs = 20;
 
 /** Nodes in two availability zones that gossip their policy versions; each zone reaches the shared store through its own endpoint. */
@@ -68,7 +67,7 @@
 			},
 			canReach: (from, to) => from === to || !this.isPartitioned,
 		});
-		await node.start(index % nodesPerZone < watchersPerZone);
+		await node.start();
 		return node;
 	}
 
--- a/prove/policy/proof-node.ts
+++ b/prove/policy/proof-node.ts
@@ -59,10 +59,9 @@
 		});
 	}
 
-	async start(watching: boolean): Promise<void> {
+	async start(): Promise<void> {
 		await this.peers.listen();
 		await this.policy.start(new AbortController().signal);
-		this.policy.setWatching(watching);
 	}
 
 	receiveGossip(other: ProofNode): void {
--- a/src/services/membership/gossip-membership-service.ts
+++ b/src/services/membership/gossip-membership-service.ts
@@ -181,9 +181,6 @@
 					gossiper.applyListed(member);
 				}
 			},
-			setWatching: (watching: boolean) => {
-				this.policy.setWatching(watching);
-			},
 			joinThroughPeers: async (signal: AbortSignal) => join.join(member => {
 				gossiper.apply(member);
 			}, signal),
--- a/src/services/membership/registration-reader.ts
+++ b/src/services/membership/registration-reader.ts
@@ -29,7 +29,6 @@
 	readonly self: Member;
 	/** Applies a registration; `broadcast` is set if other nodes may not have it. */
 	readonly apply: (member: Member, broadcast: boolean) => void;
-	readonly setWatching: (watching: boolean) => void;
 	/** Discovers members without the store. */
 	readonly joinThroughPeers: (signal: AbortSignal) => Promise<void>;
 };
@@ -128,8 +127,6 @@
 				}
 			});
 		}
-
-		this.host.setWatching(watching);
 	}
 
 	private applyListing(registered: readonly Member[]): void {
--- a/src/services/membership/test/gossip.test.ts
+++ b/src/services/membership/test/gossip.test.ts
@@ -1,6 +1,7 @@
 import {type Clock} from '@sinonjs/fake-timers';
 import test, {type ExecutionContext} from 'ava';
 import {MemberState} from '../member-state.js';
+import {registrationPrefix} from '../registration-prefix.js';
 import {DatagramNetwork} from './datagram-network.js';
 import {pauseClock, TestNode, testSettings} from './membership-fixture.js';
 import {MemoryStore} from './memory-store.js';
@@ -215,11 +216,11 @@
 	t.is(fleet.nodes[1].metrics.counters['gossip.malformed'], 6);
 });
 
-fleetTest('two nodes of each availability zone watch the store', async (t, fleet) => {
+fleetTest('two nodes of each availability zone watch the registrations', async (t, fleet) => {
 	await fleet.addMany(20);
 	await fleet.clock.tickAsync(10_000);
-	t.is(fleet.nodes.filter(node => node.policy.isWatching).length, 4);
+	t.is(fleet.store.watchCount(registrationPrefix), 4);
 	fleet.nodes[0].kill();
 	await fleet.clock.tickAsync(30_000);
-	t.is(fleet.nodes.slice(1).filter(node => node.policy.isWatching).length, 4);
+	t.is(fleet.store.watchCount(registrationPrefix), 4);
 });
--- a/src/services/membership/test/memory-store.ts
+++ b/src/services/membership/test/memory-store.ts
@@ -34,6 +34,11 @@
 		this.reachEmitter.fire(!isUnreachable);
 	}
 
+	/** Number of open watches of a prefix. */
+	watchCount(prefix: string): number {
+		return this.watchers.get(prefix)?.size ?? 0;
+	}
+
 	isLeaseAlive(leaseId: string): boolean {
 		return (this.leases.get(leaseId)?.expiresAtMs ?? 0) > performance.now();
 	}
--- a/src/services/membership/test/versioned-policy.ts
+++ b/src/services/membership/test/versioned-policy.ts
@@ -6,7 +6,6 @@
 export class VersionedPolicy implements PolicyService {
 	readonly onDidChange;
 	version = 1;
-	isWatching = false;
 	private readonly changeEmitter = new Emitter<Policy>();
 
 	constructor() {
@@ -24,10 +23,6 @@
 		}
 	}
 
-	setWatching(isWatching: boolean): void {
-		this.isWatching = isWatching;
-	}
-
 	async start(): Promise<void> {/* Nothing to follow. */}
 
 	async initialize(): Promise<never> {
--- a/src/services/policy/policy-service.ts
+++ b/src/services/policy/policy-service.ts
@@ -38,8 +38,6 @@
 	restore(signal: AbortSignal): Promise<PatchResult>;
 	/** Records that a peer has this version, as received by gossip; a newer version is then fetched from it. */
 	recordPeerVersion(version: number, peer: PeerAddress): void;
-	/** Sets whether this node watches the store for new versions, or relies on its peers and a periodic poll. */
-	setWatching(watching: boolean): void;
 }
 
 export const PolicyService = createServiceId<PolicyService>('policy');
--- a/src/services/policy/stored-policy-service.ts
+++ b/src/services/policy/stored-policy-service.ts
@@ -1,4 +1,3 @@
-import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {type RandomGenerator} from 'pure-rand/types/RandomGenerator';
 import {createRandom} from '../../base/create-random.js';
 import {type Disposable} from '../../base/disposable.js';
@@ -8,7 +7,6 @@
 import {type Event} from '../../base/event.js';
 import {ignoreRejection} from '../../base/ignore-rejection.js';
 import {KumquatlineError} from '../../base/kumquatline-error.js';
-import {sleep} from '../../base/sleep.js';
 import {LogService} from '../../runtime/log/log-service.js';
 import {type PeerAddress} from '../../runtime/peer/peer-address.js';
 import {PeerService} from '../../runtime/peer/peer-service.js';
@@ -30,20 +28,17 @@
 import {PolicyWriter} from './policy-writer.js';
 import {policyRejection} from './policy-rejection.js';
 
-/** How often a watching node verifies its watch by reading the store by revision. */
-const watchCheckIntervalMs = 1000;
-/** Mean time between polls of the store by a node that doesn't watch it but learns of versions from its peers. */
-const pollIntervalMs = 60_000;
+/** Time after which a watch without changes is renewed, so that one that is silently dead ends. Each renewal is a call to the store from every node. */
+const watchCheckIntervalMs = 10_000;
 const firstBackoffMs = 200;
 const backoffLimitMs = 5000;
 
-/** Keeps the policy from the store, read there or fetched from peers; never goes back to an earlier version. */
+/** Keeps the policy in force: watches the store, and fetches versions that it doesn't get there from peers; never goes back to an earlier version. */
 export class StoredPolicyService implements PolicyService, Disposable {
 	readonly onDidChange: Event<Policy>;
 	/** Key of the policy in the store. */
 	protected readonly key: string = policyKey;
 	private readonly disposables = new DisposableStore();
-	private readonly controller = new AbortController();
 	private readonly changeEmitter = this.disposables.add(new Emitter<Policy>());
 	private readonly random: RandomGenerator;
 	private readonly fetcher: PolicyFetcher;
@@ -54,7 +49,6 @@
 	/** Highest version that a peer has announced, and when. */
 	private announcedVersion = 0;
 	private announcedAtMs = 0;
-	private watch: Disposable | undefined;
 
 	constructor(
 		@SettingsService settingsService: SettingsService,
@@ -95,8 +89,7 @@
 	async start(signal: AbortSignal): Promise<void> {
 		this.disposables.add(this.peers.handle(policyMethod, async ({version}) => encodePolicyUpdate(this.policy, this.modRevision, version)));
 		await ignoreRejection(this.readStore(signal));
-		void ignoreRejection(this.pollUntilKnown());
-		void ignoreRejection(this.pollPeriodically());
+		this.watchStore();
 	}
 
 	async initialize(document: unknown, signal: AbortSignal): Promise<PatchResult> {
@@ -145,24 +138,7 @@
 		this.fetcher.recordPeerVersion(version, peer);
 	}
 
-	setWatching(watching: boolean): void {
-		if (watching === (this.watch !== undefined) || this.controller.signal.aborted) {
-			return;
-		}
-
-		this.watch?.dispose();
-		this.watch = watching
-			? this.store.watch(this.key, ({key, entry}) => {
-				if (key === this.key) {
-					this.adoptEntry(entry, 'watch');
-				}
-			}, watchCheckIntervalMs)
-			: undefined;
-	}
-
 	dispose(): void {
-		this.setWatching(false);
-		this.controller.abort();
 		this.disposables.dispose();
 	}
 
@@ -221,21 +197,12 @@
 		}
 	}
 
-	/** Polls the store until there is a policy, from the store or from a peer. */
-	private async pollUntilKnown(): Promise<void> {
-		const backoff = this.createBackoff();
-		while (!this.policy) {
-			await backoff.wait(this.controller.signal);
-			await ignoreRejection(this.readStore(this.controller.signal));
-		}
-	}
-
-	private async pollPeriodically(): Promise<void> {
-		for (;;) {
-			await sleep(pollIntervalMs * (0.5 + uniformFloat64(this.random)), this.controller.signal);
-			if (!this.watch) {
-				await ignoreRejection(this.readStore(this.controller.signal));
+	/** Every node watches the store itself: what gossip brings has no bound for a single node. */
+	private watchStore(): void {
+		this.disposables.add(this.store.watch(this.key, ({key, entry}) => {
+			if (key === this.key) {
+				this.adoptEntry(entry, 'watch');
 			}
-		}
+		}, watchCheckIntervalMs));
 	}
 }
--- a/src/services/policy/test/memory-store.ts
+++ b/src/services/policy/test/memory-store.ts
@@ -84,7 +84,7 @@
 
 	watch(prefix: string, listener: (change: StoreChange) => void): Disposable {
 		this.calls.push('watch');
-		for (const entry of this.entries.values()) {
+		for (const entry of this.isUnreachable ? [] : this.entries.values()) {
 			listener({key: entry.key, entry, revision: entry.modRevision});
 		}
 
--- a/src/services/policy/test/stored-policy-service.test.ts
+++ b/src/services/policy/test/stored-policy-service.test.ts
@@ -36,6 +36,15 @@
 	return {store, directory, nodes};
 }
 
+/** Starts a node that can't reach the store and learns of versions from its peers only. */
+async function startTurnedAwayNode(directory: Map<string, LocalPeers>) {
+	const store = new MemoryStore();
+	store.isUnreachable = true;
+	const node = new PolicyNode('turned-away', store, directory);
+	await node.policy.start(noSignal);
+	return node;
+}
+
 test.serial('a patch creates the next version from its base version', async t => {
 	const {nodes: [node]} = await startNodes(1);
 	t.throws(() => node.policy.current, {message: /no policy/v});
@@ -77,12 +86,12 @@
 });
 
 test.serial('a node gets a new version from a peer by patch, without the store', async t => {
-	const {nodes: [first, second], store} = await startNodes(2);
+	const {nodes: [first], directory} = await startNodes(1);
+	const second = await startTurnedAwayNode(directory);
 	await first.policy.initialize(sampleDocument, noSignal);
 	second.policy.recordPeerVersion(1, first.peers.self);
 	await clock.tickAsync(1000);
 	await first.policy.submit(importancePatch('normal', 'p1', 1), noSignal);
-	store.isUnreachable = true;
 	second.policy.recordPeerVersion(2, first.peers.self);
 	await clock.tickAsync(1000);
 	t.deepEqual(second.versions, [1, 2]);
@@ -90,7 +99,8 @@
 });
 
 test.serial('a policy is fetched from another peer if the first is unreachable', async t => {
-	const {nodes: [first, second], directory} = await startNodes(2);
+	const {nodes: [first], directory} = await startNodes(1);
+	const second = await startTurnedAwayNode(directory);
 	await first.policy.initialize(sampleDocument, noSignal);
 	second.policy.recordPeerVersion(9, {...first.peers.self, nodeId: 'gone'});
 	second.policy.recordPeerVersion(1, first.peers.self);
@@ -105,7 +115,6 @@
 	const first = JSON.stringify(node.policy.current);
 	await node.policy.submit(importancePatch('normal', 'p1', 1), noSignal);
 	store.put('/kumquatline/policy', first);
-	node.policy.setWatching(true);
 	await clock.tickAsync(longerThanPollMs);
 	t.is(node.policy.version, 2);
 	const error = await t.throwsAsync(node.policy.submit(importancePatch('high', 'p2', 1), noSignal));
@@ -129,28 +138,17 @@
 	t.deepEqual(lateNode.versions, [2]);
 });
 
-test.serial('a node that receives no gossip finds a new version by the periodic poll', async t => {
+test.serial('a node that receives no gossip adopts a new version at once, without polling the store', async t => {
 	const {nodes: [first, second], store} = await startNodes(2);
+	const callsBefore = store.calls.length;
 	await first.policy.initialize(sampleDocument, noSignal);
-	await clock.tickAsync(longerThanPollMs);
 	t.is(second.policy.version, 1);
 	await first.policy.submit(importancePatch('normal', 'p1', 1), noSignal);
-	const callsBefore = store.calls.length;
-	await clock.tickAsync(longerThanPollMs);
 	t.is(second.policy.version, 2);
+	await clock.tickAsync(longerThanPollMs);
 	t.true(store.calls.length - callsBefore < 20);
 });
 
-test.serial('a watching node adopts a new version at once', async t => {
-	const {nodes: [first, second]} = await startNodes(2);
-	second.policy.setWatching(true);
-	await first.policy.initialize(sampleDocument, noSignal);
-	t.is(second.policy.version, 1);
-	second.policy.setWatching(false);
-	await first.policy.submit(importancePatch('normal', 'p1', 1), noSignal);
-	t.is(second.policy.version, 1);
-});
-
 test.serial('a write that the store does not confirm fails with an unknown outcome', async t => {
 	const {nodes: [node], store} = await startNodes(1);
 	await node.policy.initialize(sampleDocument, noSignal);
