--- a/standins/modelled-graph/model-backend.ts
+++ b/standins/modelled-graph/model-backend.ts
@@ -26,12 +26,17 @@
 	running = 0;
 	/** Fraction of its requests that the backend server sheds regardless of its load. */
 	shedFraction = 0;
+	/** Requests per second that the backend server states in its answers as its limit; undefined if it states none. */
+	statedLimit: number | undefined;
+	/** Times at which requests arrived, on the monotonic clock. */
+	readonly arrivalsMs: number[] = [];
 
 	constructor(private readonly routes: ReadonlyMap<string, ModelRoute>, private readonly options: BackendOptions) {}
 
 	async exchange({requestId, target, headers}: ExchangeRequest, signal: AbortSignal): Promise<ExchangeAnswer> {
 		const deadlineMs = Number(headers[headers.indexOf('deadline') + 1]);
 		const monotonicDeadlineMs = performance.now() + deadlineMs;
+		this.arrivalsMs.push(performance.now());
 		if (this.running >= this.options.slots || uniformFloat64(this.options.random) < this.shedFraction) {
 			throw new KumquatlineError(ErrorKind.BackendShed, 'refused', {started: false});
 		}
@@ -39,7 +44,8 @@
 		this.running++;
 		const startedAtMs = performance.now();
 		try {
-			return {status: await this.run(this.routes.get(target)!, requestId, monotonicDeadlineMs, signal), headers: [], body: new Uint8Array()};
+			const status = await this.run(this.routes.get(target)!, requestId, monotonicDeadlineMs, signal);
+			return {status, headers: this.statedLimit === undefined ? [] : ['request-limit', String(this.statedLimit)], body: new Uint8Array()};
 		} finally {
 			this.running--;
 			this.busyMs += performance.now() - startedAtMs;
