Send a backend server no more requests than the limit that it states

A back end in need that asked for fewer requests got as many as before. Only the number of requests that run at once was bounded, by the slots that it announces; what it states in its answers was passed on to callers and not read.

Class: an input of the upstream that no decision uses. Every request to a backend server passes the node beside it, so that node holds the limit alone, with a token bucket before the slots. Its load reports the concurrency that belongs to the rate, by which entry nodes choose other upstreams and refuse roots early, most urgent first. Entry nodes remember the limit and send it with their requests, because a restarted node would use all slots before its first answer. Answers without the header end it; refusals say nothing about it.

--- a/src/platform/header-names.ts
+++ b/src/platform/header-names.ts
@@ -7,5 +7,6 @@
 	signature: 'x-server-seal',
 	expectedInstance: 'x-expect-instance',
 	notRun: 'x-not-run',
+	requestLimit: 'server-limit',
 	caller: 'x-caller',
 };
--- a/src/runtime/http/header-names.ts
+++ b/src/runtime/http/header-names.ts
@@ -12,6 +12,8 @@
 	readonly expectedInstance: string;
 	/** Set when a backend server refuses a request: it has not started the request and never will. */
 	readonly notRun: string;
+	/** Requests per second that a backend server accepts from all nodes together, as a decimal number; absent without a limit. */
+	readonly requestLimit: string;
 	/** Service of the VM that the request originates from. */
 	readonly caller: string;
 };
--- a/src/services/relay/backend-admitted-share.ts
+++ b/src/services/relay/backend-admitted-share.ts
@@ -1,5 +1,6 @@
 /** State of a backend server's queue and of its node. */
 type QueueState = {
+	/** Number of requests that can run at once; a fraction if the rate of requests is limited below one per execution time. */
 	readonly limit: number;
 	readonly waiting: number;
 	readonly meanRunMs: number;
@@ -30,6 +31,8 @@
 const maxReductionMs = 200;
 /** Some root requests are always admitted, so that the end of an overload is detected. */
 const minShare = 0.05;
+/** Lower bound of the limit that divides the utilisation. */
+const minLimit = 0.05;
 const msPerSecond = 1000;
 
 /**
@@ -61,7 +64,7 @@
 			return;
 		}
 
-		const slots = Math.max(1, limit);
+		const slots = Math.max(minLimit, limit);
 		const arrived = this.arrivals * meanRunMs / (slots * elapsedMs);
 		this.utilisation += (arrived - this.utilisation) * latestWeight;
 		const slotError = errorOf(this.utilisation + (waiting * meanRunMs / (slots * queueDrainMs)));
--- a/src/services/relay/mesh-relay-service.ts
+++ b/src/services/relay/mesh-relay-service.ts
@@ -11,6 +11,7 @@
 import {PeerService} from '../../runtime/peer/peer-service.js';
 import {RelaySettingsService} from '../../runtime/settings/relay-settings-service.js';
 import {SettingsService} from '../../runtime/settings/settings-service.js';
+import {type InstanceCondition} from '../backend/instance-condition.js';
 import {type Member} from '../membership/member.js';
 import {MembershipService} from '../membership/membership-service.js';
 import {type Route} from '../routes/route.js';
@@ -68,6 +69,8 @@
 	private readonly random;
 	private readonly chooser: UpstreamChooser;
 	private readonly subscription: Disposable;
+	/** Conditions that upstreams' backend servers have stated, by node id. */
+	private readonly conditions = new Map<string, InstanceCondition>();
 	/** Outcomes of root requests and of inner calls since the last report. */
 	private readonly roots = new Tally();
 	private readonly calls = new Tally();
@@ -92,6 +95,7 @@
 			});
 			if (goneStates.has(state)) {
 				this.chooser.evict(nodeId);
+				this.conditions.delete(nodeId);
 			}
 		});
 	}
@@ -197,8 +201,9 @@
 				throw new KumquatlineError(ErrorKind.DeadlineExceeded, 'the deadline passed before the request was sent to an upstream', {started: false});
 			}
 
-			reply = await this.peers.call(member, relayMethod, request, {callId: createUuid(), timeoutMs, signal});
+			reply = await this.peers.call(member, relayMethod, {...request, condition: this.conditions.get(nodeId)}, {callId: createUuid(), timeoutMs, signal});
 			this.recordReply(request, reply);
+			this.recordCondition(nodeId, reply);
 			return toAttempt(nodeId, reply);
 		} catch (error) {
 			const failure = error instanceof KumquatlineError ? error : new KumquatlineError(ErrorKind.Internal, 'unexpected error while sending the request to an upstream', {cause: error});
@@ -220,6 +225,15 @@
 		this.callGraph.recordThreshold(service, this.chooser.thresholdOf(service), load.heard);
 	}
 
+	/** Remembers what an upstream's backend server states, for its node in case that restarts. Only an answer shows that nothing is stated any more. */
+	private recordCondition(nodeId: string, {condition, status}: RelayReply): void {
+		if (condition) {
+			this.conditions.set(nodeId, condition);
+		} else if (status !== undefined) {
+			this.conditions.delete(nodeId);
+		}
+	}
+
 	/** Reports successful and late requests to early refusal, lateness judged by the remaining fraction of their time. Other failures say nothing about the load. */
 	private recordLateness(request: RelayRequest, last: Attempt | undefined, {enteredAtMs, remainingFraction}: {readonly enteredAtMs: number; readonly remainingFraction: number}): void {
 		const isServed = last?.answer !== undefined && last.answer.status < firstFailureStatus;
--- a/src/services/relay/relay-executor.ts
+++ b/src/services/relay/relay-executor.ts
@@ -5,6 +5,7 @@
 import {KumquatlineError} from '../../base/kumquatline-error.js';
 import {Tally} from '../../base/tally.js';
 import {toWireError} from '../../base/to-wire-error.js';
+import {findHeader} from '../../runtime/http/find-header.js';
 import {HeaderNames} from '../../runtime/http/header-names.js';
 import {LogService} from '../../runtime/log/log-service.js';
 import {MetricsService} from '../../runtime/metrics/metrics-service.js';
@@ -25,8 +26,10 @@
 import {type RelayReply} from './relay-reply.js';
 import {type RelayRequest} from './relay-request.js';
 import {rootIdOf} from './root-id-of.js';
+import {RequestPacer} from './request-pacer.js';
 import {RunningRequests} from './running-requests.js';
 import {SlotQueue} from './slot-queue.js';
+import {StatedCondition} from './stated-condition.js';
 
 /** Fraction of the reported slots above which a refusal indicates overload; below it, the backend server refuses at random. */
 const overloadFraction = 0.85;
@@ -38,6 +41,7 @@
 */
 const answerMarginMs = 12;
 const maxAnswerMarginFraction = 0.1;
+const msPerSecond = 1000;
 
 type ExecutionProgress = {
 	/** Whether the request was sent to the backend server. */
@@ -49,6 +53,8 @@
 /** Executes requests from all nodes at the VM's own backend server. Only this node sends requests to that backend server, so its state here is authoritative. */
 export class RelayExecutor implements Disposable, LoadSource {
 	private readonly handlers = new DisposableStore();
+	private readonly pacer = new RequestPacer();
+	private readonly condition = new StatedCondition();
 	private readonly queue: SlotQueue;
 	private lastBootedAtMs = 0;
 	private isDraining = false;
@@ -70,7 +76,7 @@
 		@RunningRequests private readonly runningRequests: RunningRequests,
 		@ProcessorService private readonly processor: ProcessorService,
 	) {
-		this.queue = new SlotQueue(() => this.limit.limit);
+		this.queue = this.handlers.add(new SlotQueue(() => this.limit.limit, this.pacer));
 		this.handlers.add(peers.handle(relayMethod, async (request, call) => this.reply(request, call)));
 	}
 
@@ -83,6 +89,7 @@
 			}
 
 			this.limit.setAnnouncedCapacity(instance.slots, instance.slots, instance.bootedAtMs);
+			this.applyCondition(instance);
 			this.queue.admitWaiting();
 		}
 	}
@@ -110,6 +117,7 @@
 			executions,
 			slots: this.instances.current?.slots ?? 0,
 			limit: this.limit.limit,
+			statedLimit: this.condition.of(this.instances.current)?.requestsPerSecond,
 			running: this.queue.running,
 			waiting: this.queue.length,
 			oldestWaitMs: Math.round(this.queue.oldestWaitMs),
@@ -131,7 +139,7 @@
 			this.metrics.record('execution', performance.now() - startedAtMs, {route: request.route});
 			this.executions.add('answered');
 			return {
-				status, headers, body, ...progress, load: this.load(),
+				status, headers, body, ...progress, ...this.report(),
 			};
 		} catch (error) {
 			const failure = toWireError(error);
@@ -141,7 +149,7 @@
 			}
 
 			this.logFailure(request, call, failure.kind, failure.message, performance.now() - startedAtMs, progress);
-			return {failure, ...progress, load: this.load()};
+			return {failure, ...progress, ...this.report()};
 		}
 	}
 
@@ -153,24 +161,41 @@
 		});
 	}
 
+	/** What each reply tells of the backend server. */
+	private report(): Pick<RelayReply, 'load' | 'condition'> {
+		const condition = this.condition.of(this.instances.current);
+		return {load: this.load(), ...(condition?.requestsPerSecond !== undefined && {condition})};
+	}
+
 	private load(): UpstreamLoad {
 		this.observe();
 		return {
-			inFlight: this.queue.running, limit: this.limit.limit, queued: this.queue.length, queueWaitMs: 0,
+			inFlight: this.queue.running, limit: this.effectiveLimit, queued: this.queue.length, queueWaitMs: 0,
 			threshold: 1 - this.backendAdmittedShare.share,
 			heard: this.callGraph.heard,
 		};
 	}
 
+	/** Number of requests that can run at once, by the limit of concurrency and by the rate (Little's law). */
+	private get effectiveLimit(): number {
+		const {meanMs} = this.queue;
+		return meanMs === 0 ? this.limit.limit : Math.min(this.limit.limit, this.pacer.requestsPerSecond * meanMs / msPerSecond);
+	}
+
 	private observe(): void {
 		this.backendAdmittedShare.observe({
-			limit: this.limit.limit, waiting: this.queue.length, meanRunMs: this.queue.meanMs, processorShare: this.processor.utilisation,
+			limit: this.effectiveLimit, waiting: this.queue.length, meanRunMs: this.queue.meanMs, processorShare: this.processor.utilisation,
 		});
 	}
 
 	private async execute(request: RelayRequest, call: PeerCall, progress: ExecutionProgress): Promise<ExchangeAnswer> {
 		const monotonicDeadlineMs = performance.now() + call.timeoutMs;
-		this.checkInstance(request.service);
+		const instance = this.checkInstance(request.service);
+		if (request.condition) {
+			this.condition.adopt(instance, request.condition);
+			this.applyCondition(instance);
+		}
+
 		if (!this.breaker.maySend(this.queue.meanMs)) {
 			throw new KumquatlineError(ErrorKind.BackendUnreachable, 'the backend server currently does not respond', {started: false});
 		}
@@ -199,6 +224,8 @@
 			progress.offered = true;
 			const answer = await this.exchanges.exchange(this.prepare(request, instance, monotonicDeadlineMs), signal);
 			isAnswered = true;
+			this.condition.record(instance, parseLimit(findHeader(answer.headers, this.names.requestLimit)));
+			this.applyCondition(instance);
 			return answer;
 		} catch (error) {
 			const kind = error instanceof KumquatlineError ? error.kind : ErrorKind.Internal;
@@ -216,6 +243,20 @@
 		}
 	}
 
+	/** Applies what the current instance states; an earlier instance's last answers are ignored. */
+	private applyCondition(instance: InstanceReport): void {
+		const {current} = this.instances;
+		if (current?.bootedAtMs !== instance.bootedAtMs) {
+			return;
+		}
+
+		const requestsPerSecond = this.condition.of(instance)?.requestsPerSecond;
+		if (this.pacer.setLimit(requestsPerSecond)) {
+			this.log.info('backend server states another limit', {instance: instance.instanceId, requestsPerSecond});
+			this.queue.admitWaiting();
+		}
+	}
+
 	/** The instance that accepts requests of a service; throws if there is none. */
 	private checkInstance(service: string): InstanceReport {
 		const instance = this.instances.current;
@@ -254,3 +295,8 @@
 		}
 	}
 }
+
+/** Parses a stated limit; a malformed one counts as none. */
+function parseLimit(text: string | undefined): number | undefined {
+	return text !== undefined && /^\d+(?:\.\d+)?$/v.test(text) ? Number(text) : undefined;
+}
--- a/src/services/relay/relay-reply.ts
+++ b/src/services/relay/relay-reply.ts
@@ -1,4 +1,5 @@
 import {type WireError} from '../../base/wire-error.js';
+import {type InstanceCondition} from '../backend/instance-condition.js';
 import {type UpstreamLoad} from '../admission/upstream-load.js';
 import {type CallCounts} from './call-graph-service.js';
 
@@ -11,6 +12,8 @@
 	/** Whether the request was sent to the backend server, even if that refused it. */
 	readonly offered: boolean;
 	readonly load: UpstreamLoad;
+	/** Set if the backend server states a limit. */
+	readonly condition?: InstanceCondition;
 	/** Inner calls that the execution made. */
 	readonly calls?: CallCounts;
 	readonly body?: Uint8Array;
--- a/src/services/relay/relay-request.ts
+++ b/src/services/relay/relay-request.ts
@@ -1,3 +1,5 @@
+import {type InstanceCondition} from '../backend/instance-condition.js';
+
 /** A request as the node that received it from its caller forwards it to an upstream's node. */
 export type RelayRequest = {
 	readonly requestId: string;
@@ -15,5 +17,7 @@
 	readonly hasWaited: boolean;
 	/** Whether this is an inner call; its failure wastes the work already done for the parent request. */
 	readonly isInner: boolean;
+	/** Condition that the upstream's backend server stated in its last answer to the sender; the upstream's node may have restarted since. */
+	readonly condition?: InstanceCondition;
 	readonly body?: Uint8Array;
 };
--- a/src/services/relay/slot-queue.ts
+++ b/src/services/relay/slot-queue.ts
@@ -1,6 +1,8 @@
+import {type Disposable} from '../../base/disposable.js';
 import {Deferred} from '../../base/deferred.js';
 import {ErrorKind} from '../../base/error-kind.js';
 import {KumquatlineError} from '../../base/kumquatline-error.js';
+import {RequestPacer} from './request-pacer.js';
 
 export type QueuedWork = {
 	/** Rank of the root request between 0 and 1, the same at every service: under overload some root requests are completed instead of all in part. */
@@ -39,12 +41,13 @@
 adjustments for inner calls and priority, so that nothing starves. Work that cannot complete before its deadline is refused
 before it is started.
 */
-export class SlotQueue {
+export class SlotQueue implements Disposable {
 	private readonly waiting: WaitingWork[] = [];
 	private runningCount = 0;
 	private meanRunMs = 0;
+	private pacingTimer: NodeJS.Timeout | undefined;
 
-	constructor(private readonly limit: () => number) {}
+	constructor(private readonly limit: () => number, private readonly pacer = new RequestPacer()) {}
 
 	get running(): number {
 		return this.runningCount;
@@ -67,7 +70,7 @@
 
 	/** Resolves when the work holds a slot; rejects with `overloaded`, `deadline-exceeded` or `caller-gone`, in which case the work was not started. */
 	async acquire(work: QueuedWork, signal: AbortSignal): Promise<void> {
-		if (this.runningCount < this.limit() && this.waiting.length === 0) {
+		if (this.runningCount < this.limit() && this.waiting.length === 0 && this.pacer.tryTake()) {
 			this.runningCount++;
 			return;
 		}
@@ -100,25 +103,43 @@
 		this.admitWaiting();
 	}
 
-	/** Admits waiting work up to the limit. */
+	/** Admits waiting work up to the limit and the rate. */
 	admitWaiting(): void {
 		while (this.waiting.length > 0 && this.runningCount < this.limit()) {
-			const work = this.waiting.shift()!;
-			if (work.monotonicDeadlineMs - performance.now() < this.meanRunMs * minTimeFraction) {
-				work.admitted.reject(new KumquatlineError(ErrorKind.DeadlineExceeded, 'too little time remained when a slot became free', {started: false}));
-				continue;
+			const [work] = this.waiting;
+			const hasTime = work.monotonicDeadlineMs - performance.now() >= this.meanRunMs * minTimeFraction;
+			if (hasTime && !this.pacer.tryTake()) {
+				this.admitLater();
+				return;
 			}
 
-			this.runningCount++;
-			work.admitted.resolve();
+			this.waiting.shift();
+			if (hasTime) {
+				this.runningCount++;
+				work.admitted.resolve();
+			} else {
+				work.admitted.reject(new KumquatlineError(ErrorKind.DeadlineExceeded, 'too little time remained when a slot became free', {started: false}));
+			}
 		}
 	}
 
+	dispose(): void {
+		clearTimeout(this.pacingTimer);
+	}
+
+	private admitLater(): void {
+		clearTimeout(this.pacingTimer);
+		this.pacingTimer = setTimeout(() => {
+			this.admitWaiting();
+		}, Math.ceil(this.pacer.waitMs));
+	}
+
 	/** Expected wait of work with this sort key. */
 	private expectedWaitMs(sortKey: number): number {
 		const limit = Math.max(1, this.limit());
-		const surplus = this.runningCount + this.findPosition(sortKey) + 1 - limit;
-		return Math.max(0, surplus) * this.meanRunMs / limit;
+		const position = this.findPosition(sortKey);
+		const surplus = this.runningCount + position + 1 - limit;
+		return Math.max(Math.max(0, surplus) * this.meanRunMs / limit, this.pacer.waitMsOf(position));
 	}
 
 	private async wait(work: WaitingWork, signal: AbortSignal): Promise<void> {
@@ -135,6 +156,7 @@
 		}
 
 		this.waiting.splice(this.findPosition(work.sortKey), 0, work);
+		this.admitWaiting();
 		signal.addEventListener('abort', onAbort, {once: true});
 		try {
 			await work.admitted.promise;
--- a/standins/platform/platform-backend-stand-in.ts
+++ b/standins/platform/platform-backend-stand-in.ts
@@ -39,6 +39,8 @@
 	disconnects = 0;
 	/** Time that each execution takes. */
 	executionMs = 0;
+	/** Requests per second that the answers state as the limit; undefined for none. */
+	statedLimit: number | undefined;
 	private running = 0;
 	private readonly server = createServer((message, response) => {
 		void this.handle(message, response);
@@ -115,7 +117,7 @@
 		this.peakRunning = Math.max(this.peakRunning, this.running);
 		await sleep(this.executionMs);
 		this.running--;
-		response.writeHead(200, {'X-Server-Seal': `seal-${id}`});
+		response.writeHead(200, {'X-Server-Seal': `seal-${id}`, ...(this.statedLimit !== undefined && {'Server-Limit': this.statedLimit})});
 		response.end(`${this.service} ran ${id}`);
 	}
 }
--- a/standins/platform/test/relay-fixture.ts
+++ b/standins/platform/test/relay-fixture.ts
@@ -63,6 +63,12 @@
 	async startNode(name: string, service: string, zone = 'zone-a') {
 		const backend = new PlatformBackendStandIn(service, `i-${name}`);
 		await backend.listen();
+		return this.startNodeOf(backend, name, zone);
+	}
+
+	/** Starts a node beside a backend server that is already running. */
+	async startNodeOf(backend: PlatformBackendStandIn, name: string, zone = 'zone-a') {
+		const {service} = backend;
 		const host = '127.0.0.1';
 		const kernel = createRelayKernel({
 			node: {
--- a/standins/platform/test/relay-node.test.ts
+++ b/standins/platform/test/relay-node.test.ts
@@ -138,6 +138,27 @@
 	}), {status: 200});
 });
 
+// The limit was held by the node beside the backend server alone, which forgot it in a restart.
+test('a restarted node keeps the limit that its backend server has stated to callers of other nodes', async t => {
+	const {mesh, desk, catalogue} = await startPair(t);
+	const {backend} = catalogue;
+	backend.statedLimit = 4;
+	t.like(await send(desk.node.ports.outbound, {host: 'a.example', path: '/read/x', id: 'first'}), {status: 200});
+	catalogue.node.dispose();
+	const restarted = await mesh.startNodeOf(backend, 'catalogue-1', 'zone-b');
+	const {incarnation} = restarted.membership.self;
+	await backend.report(restarted.node.ports.control, {seq: 2});
+	await until(() => desk.membership.upstreams('catalogue').some(member => member.incarnation === incarnation));
+	backend.executionMs = 300;
+	const answers = await Promise.all(Array.from({length: 20}, async (_, index) => send(desk.node.ports.outbound, {
+		host: 'a.example', path: '/read/x', id: `burst-${index}`,
+	})));
+	// In the route's timeout of 1 s, and a burst of 1.
+	t.true(backend.executions.length <= 1 + 1 + 4, `${backend.executions.length - 1} executions`);
+	t.true(answers.some(({status}) => status === 200));
+	t.true(answers.every(({status}) => status === 200 || status === 503));
+});
+
 test('malformed reports are rejected and have no effect', async t => {
 	const {desk, catalogue} = await startPair(t);
 	const {control} = catalogue.node.ports;
