Send nothing more to a backend server whose answer states that it leaves

A backend server that leaves says so in all its answers; callers of a node that had passed such an answer on could still be sent there, until a report or the departure call arrived, which may be late or lost.

The node beside the backend server treats the statement like a report that it is draining, for the rest of that boot, and announces it. Entry nodes remember it with the instance and its boot and send it with their requests, so that a restarted node refuses before its first answer.

'a backend server whose answer states that it leaves gets no more requests, also after a restart of its node' failed before (the second request got 200) and passes; a later boot gets requests again.

--- a/src/platform/header-names.ts
+++ b/src/platform/header-names.ts
@@ -8,5 +8,6 @@
 	expectedInstance: 'x-expect-instance',
 	notRun: 'x-not-run',
 	requestLimit: 'server-limit',
+	leaving: 'server-leaving',
 	caller: 'x-caller',
 };
--- a/src/runtime/http/header-names.ts
+++ b/src/runtime/http/header-names.ts
@@ -14,6 +14,8 @@
 	readonly notRun: string;
 	/** Requests per second that a backend server accepts from all nodes together, as a decimal number; absent without a limit. */
 	readonly requestLimit: string;
+	/** Set to 1 in the answers of a backend server that leaves. */
+	readonly leaving: string;
 	/** Service of the VM that the request originates from. */
 	readonly caller: string;
 };
--- a/src/services/backend/instance-condition.ts
+++ b/src/services/backend/instance-condition.ts
@@ -4,4 +4,5 @@
 	readonly bootedAtMs: number;
 	/** Requests per second that it accepts from all nodes together; undefined without a limit. */
 	readonly requestsPerSecond?: number;
+	readonly isLeaving: boolean;
 };
--- a/src/services/backend/instance-service.ts
+++ b/src/services/backend/instance-service.ts
@@ -10,6 +10,8 @@
 	readonly onDidChange: Event<InstanceReport | undefined>;
 	/** Accepts a report unless it is older than the latest one. */
 	report(report: InstanceReport): void;
+	/** Records that an instance has stated in an answer that it leaves: it counts as draining, whatever its later reports say. */
+	recordLeaving(instance: Pick<InstanceReport, 'instanceId' | 'bootedAtMs'>): void;
 	/** Records that an instance departs: it finishes its running requests and gets no new ones. */
 	recordDeparture(instanceId: string): void;
 }
--- a/src/services/backend/instance-tracker.ts
+++ b/src/services/backend/instance-tracker.ts
@@ -17,6 +17,8 @@
 	private latest: InstanceReport | undefined;
 	/** The latest instance reported its own departure, after which none of its reports counts. */
 	private hasDeparted = false;
+	/** Boot time of the instance that has stated that it leaves. */
+	private leavingBootedAtMs: number | undefined;
 	/** Reports are missing, which may also be a fault of this VM; the next report resets this. */
 	private isSilent = false;
 	/** Departures of instances that are unknown because this node has just started, with their wall-clock time. */
@@ -36,12 +38,13 @@
 		return this.emitter.event;
 	}
 
-	report(report: InstanceReport): void {
-		if (!this.counts(report)) {
-			this.log.info('ignored a late report', {instance: report.instanceId, sequence: report.sequence, known: this.latest?.instanceId});
+	report(received: InstanceReport): void {
+		if (!this.counts(received)) {
+			this.log.info('ignored a late report', {instance: received.instanceId, sequence: received.sequence, known: this.latest?.instanceId});
 			return;
 		}
 
+		const report = {...received, draining: received.draining || received.bootedAtMs === this.leavingBootedAtMs};
 		const wasDraining = this.current?.instanceId === report.instanceId && this.current.draining;
 		this.latest = report;
 		this.hasDeparted = false;
@@ -55,6 +58,18 @@
 		this.emitter.fire(report);
 	}
 
+	recordLeaving({instanceId, bootedAtMs}: Pick<InstanceReport, 'instanceId' | 'bootedAtMs'>): void {
+		const {current} = this;
+		if (current?.instanceId !== instanceId || current.bootedAtMs !== bootedAtMs || current.draining) {
+			return;
+		}
+
+		this.log.info('backend server states that it leaves', {instance: instanceId});
+		this.leavingBootedAtMs = bootedAtMs;
+		this.latest = {...current, draining: true};
+		this.emitter.fire(this.latest);
+	}
+
 	recordDeparture(instanceId: string): void {
 		if (this.latest?.instanceId === instanceId && !this.hasDeparted) {
 			this.log.info('backend server has left', {instance: instanceId});
--- a/src/services/relay/relay-executor.ts
+++ b/src/services/relay/relay-executor.ts
@@ -42,6 +42,8 @@
 const answerMarginMs = 12;
 const maxAnswerMarginFraction = 0.1;
 const msPerSecond = 1000;
+/** Value of the header with which a backend server states that it leaves. */
+const leavingValue = '1';
 
 type ExecutionProgress = {
 	/** Whether the request was sent to the backend server. */
@@ -164,7 +166,7 @@
 	/** What each reply tells of the backend server. */
 	private report(): Pick<RelayReply, 'load' | 'condition'> {
 		const condition = this.condition.of(this.instances.current);
-		return {load: this.load(), ...(condition?.requestsPerSecond !== undefined && {condition})};
+		return {load: this.load(), ...(condition && (condition.requestsPerSecond !== undefined || condition.isLeaving) && {condition})};
 	}
 
 	private load(): UpstreamLoad {
@@ -194,6 +196,7 @@
 		if (request.condition) {
 			this.condition.adopt(instance, request.condition);
 			this.applyCondition(instance);
+			this.checkInstance(request.service);
 		}
 
 		if (!this.breaker.maySend(this.queue.meanMs)) {
@@ -224,7 +227,10 @@
 			progress.offered = true;
 			const answer = await this.exchanges.exchange(this.prepare(request, instance, monotonicDeadlineMs), signal);
 			isAnswered = true;
-			this.condition.record(instance, parseLimit(findHeader(answer.headers, this.names.requestLimit)));
+			this.condition.record(instance, {
+				requestsPerSecond: parseLimit(findHeader(answer.headers, this.names.requestLimit)),
+				isLeaving: findHeader(answer.headers, this.names.leaving) === leavingValue,
+			});
 			this.applyCondition(instance);
 			return answer;
 		} catch (error) {
@@ -250,7 +256,11 @@
 			return;
 		}
 
-		const requestsPerSecond = this.condition.of(instance)?.requestsPerSecond;
+		const {requestsPerSecond, isLeaving} = this.condition.of(instance) ?? {};
+		if (isLeaving) {
+			this.instances.recordLeaving(instance);
+		}
+
 		if (this.pacer.setLimit(requestsPerSecond)) {
 			this.log.info('backend server states another limit', {instance: instance.instanceId, requestsPerSecond});
 			this.queue.admitWaiting();
--- a/src/services/relay/relay-reply.ts
+++ b/src/services/relay/relay-reply.ts
@@ -12,7 +12,7 @@
 	/** Whether the request was sent to the backend server, even if that refused it. */
 	readonly offered: boolean;
 	readonly load: UpstreamLoad;
-	/** Set if the backend server states a limit. */
+	/** Set if the backend server states a limit or that it leaves. */
 	readonly condition?: InstanceCondition;
 	/** Inner calls that the execution made. */
 	readonly calls?: CallCounts;
--- a/src/services/relay/stated-condition.ts
+++ b/src/services/relay/stated-condition.ts
@@ -3,6 +3,8 @@
 
 type Instance = Pick<InstanceReport, 'instanceId' | 'bootedAtMs'>;
 
+type Statement = Omit<InstanceCondition, keyof Instance>;
+
 /** The condition of the VM's backend server: as its latest answer states it, or, before the first answer, as another node remembers it. */
 export class StatedCondition {
 	private latest: InstanceCondition | undefined;
@@ -12,9 +14,12 @@
 		return instance && this.isOf(instance) ? this.latest : undefined;
 	}
 
-	/** Records what an answer of an instance states. */
-	record({instanceId, bootedAtMs}: Instance, requestsPerSecond: number | undefined): void {
-		this.latest = {instanceId, bootedAtMs, requestsPerSecond};
+	/** Records what an answer of an instance states; once it leaves, it does so for good. */
+	record({instanceId, bootedAtMs}: Instance, {requestsPerSecond, isLeaving}: Statement): void {
+		const wasLeaving = this.of({instanceId, bootedAtMs})?.isLeaving ?? false;
+		this.latest = {
+			instanceId, bootedAtMs, requestsPerSecond, isLeaving: isLeaving || wasLeaving,
+		};
 	}
 
 	/** Adopts what another node remembers of the instance; ignored after an answer to this node. */
