Do not retry a request on a connection on which it was refused

A faulty backend server may write an earlier refusal once more on a kept connection. Answers are told apart by the request id that they echo, but a retry at the same backend server has the same id. Callers could be told 'not run, try again' of a request that was running, or it was sent on to a second backend server and executed twice.

Class: an identifier that is unique for a request is taken for one of an attempt. A connection remembers the ids that were refused on it, is not used for them again, and is retired after 100 refusals.

'a repeated refusal of an earlier attempt does not refuse the next attempt of the same request' failed before (backend-shed for an executed request) and passes.

--- a/src/services/exchange/exchange-connection.ts
+++ b/src/services/exchange/exchange-connection.ts
@@ -14,6 +14,8 @@
 /** Fraction of the stated idle timeout within which a connection is reused, so that a request does not cross with its closing. */
 const idleFraction = 0.8;
 const msPerSecond = 1000;
+/** Refusals after which a connection is not reused, which bounds the ids that it remembers. */
+const maxRefusals = 100;
 
 type Pending = {
 	readonly request: ExchangeRequest;
@@ -35,6 +37,8 @@
 	private readonly parser: AnswerParser;
 	private readonly connected = new Deferred<void>();
 	private pending: Pending | undefined;
+	/** Ids of the requests that were refused on this connection. */
+	private readonly refusedIds = new Set<string>();
 	private exchangeCount = 0;
 	private idleSinceMs = 0;
 	private idleMs = defaultIdleMs;
@@ -71,7 +75,16 @@
 
 	/** Whether another request may be sent. */
 	get isReusable(): boolean {
-		return this.isOpen && !this.mustClose && !this.pending && performance.now() - this.idleSinceMs < this.idleMs;
+		return this.isOpen && !this.mustClose && !this.pending && this.refusedIds.size < maxRefusals && performance.now() - this.idleSinceMs < this.idleMs;
+	}
+
+	/** Whether a request of this id was refused here: the same refusal, written again, could not be told from the answer to its next attempt. */
+	hasRefused(requestId: string): boolean {
+		return this.refusedIds.has(requestId);
+	}
+
+	recordRefusal(requestId: string): void {
+		this.refusedIds.add(requestId);
 	}
 
 	/** Resolves when requests can be sent; rejects with `backend-unreachable` if the connection fails. */
--- a/src/services/exchange/pooled-exchange-service.ts
+++ b/src/services/exchange/pooled-exchange-service.ts
@@ -34,10 +34,16 @@
 	) {}
 
 	async exchange(request: ExchangeRequest, signal: AbortSignal): Promise<ExchangeAnswer> {
-		const connection = this.takeIdle() ?? await this.open(signal);
+		const connection = this.takeIdle(request.requestId) ?? await this.open(signal);
 		this.busy.add(connection);
 		try {
 			return this.checkAnswer(await connection.exchange(request, signal));
+		} catch (error) {
+			if (error instanceof KumquatlineError && error.started === false) {
+				connection.recordRefusal(request.requestId);
+			}
+
+			throw error;
 		} finally {
 			this.busy.delete(connection);
 			this.release(connection);
@@ -50,8 +56,15 @@
 		}
 	}
 
-	private takeIdle(): ExchangeConnection | undefined {
-		for (let connection = this.idle.pop(); connection; connection = this.idle.pop()) {
+	/** Takes the most recently used idle connection that may carry the request. */
+	private takeIdle(requestId: string): ExchangeConnection | undefined {
+		for (let index = this.idle.length - 1; index >= 0; index--) {
+			const connection = this.idle[index];
+			if (connection.isReusable && connection.hasRefused(requestId)) {
+				continue;
+			}
+
+			this.idle.splice(index, 1);
 			if (connection.isReusable) {
 				return connection;
 			}
--- a/src/services/exchange/test/pooled-exchange-service.test.ts
+++ b/src/services/exchange/test/pooled-exchange-service.test.ts
@@ -104,6 +104,34 @@
 	t.like(await t.throwsAsync(exchange('r2')), {kind: 'backend-failed', started: undefined});
 });
 
+// A retry at the same backend server has the same request id, so an earlier refusal that is written again would pass for its answer.
+test('a repeated refusal of an earlier attempt does not refuse the next attempt of the same request', async t => {
+	const refusal = 'HTTP/1.1 503 Service Unavailable\r\nid: r1\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n';
+	const {exchange, counts} = await openRawBackend(t, (socket, number) => {
+		if (number === 1) {
+			socket.write(refusal);
+		} else {
+			socket.write((counts().connections === 1 ? refusal : '') + answerTo('r1', 'executed'));
+		}
+	});
+	t.like(await t.throwsAsync(exchange('r1')), {kind: 'backend-shed', started: false});
+	t.like(await exchange('r1'), {status: 200, body: 'executed'});
+	t.is(counts().connections, 2);
+	t.like(await exchange('r1'), {status: 200, body: 'executed'});
+	t.is(counts().connections, 2);
+});
+
+test('an answer whose head is cut anywhere by the end of the connection is incomplete', async t => {
+	const head = 'HTTP/1.1 200 OK\r\nid: r1\r\nsignature: s\r\ncontent-length: 5\r\n\r\n';
+	for (let length = 1; length <= head.length; length++) {
+		const {exchange} = await openRawBackend(t, socket => {
+			socket.end(head.slice(0, length));
+		});
+		const error = await t.throwsAsync(exchange('r1'));
+		t.like(error, {kind: 'backend-failed', started: undefined}, `cut after ${length} bytes`);
+	}
+});
+
 test('the rest of a long request body is still sent after an early answer', async t => {
 	const body = 'x'.repeat(3_000_000);
 	let receivedBytes = 0;
