Check registrations by the same rules as datagrams

Another writer left one odd entry among the registrations, and nodes stopped following the list. Deep nesting, numbers out of range and ports out of range were rejected already. A name that is too long, or empty where datagrams ask for one, was accepted: nodes took it for a member and queued a record that fits no datagram, or that makes peers drop the whole datagram, in front of the updates of others.

Class: two checks of the same data that differ. Registrations and datagrams now share the types of their fields.

Of the six cases of 'a registration that ... does not keep nodes from following the others' two failed before (the entry became a member: a name longer than a datagram, an empty zone); all pass. In these tests the others were still followed, by the records that nodes ask for, so the delay itself is suspected, not shown.

--- a/src/services/membership/decode-message.ts
+++ b/src/services/membership/decode-message.ts
@@ -1,14 +1,14 @@
 import {z} from 'zod';
 import {type GossipMessage} from './gossip-message.js';
 import {GossipMessageKind} from './gossip-message-kind.js';
+import {memberFields} from './member-fields.js';
 import {MemberState} from './member-state.js';
 import {type MemberUpdate} from './member-update.js';
 
 const decoder = new TextDecoder();
-const name = z.string().min(1).max(64);
-const optionalName = z.string().max(64);
-const count = z.number().int().min(0);
-const port = z.number().int().min(0).max(65_535);
+const {
+	name, optionalName, count, port,
+} = memberFields;
 const state = z.enum(MemberState);
 
 const detailsTuple = z.tuple([
--- a/src/services/membership/member-schema.ts
+++ b/src/services/membership/member-schema.ts
@@ -1,21 +1,23 @@
 import {z} from 'zod';
+import {memberFields} from './member-fields.js';
 import {MemberState} from './member-state.js';
 
-const count = z.number().int().min(0);
-const port = z.number().int().min(0).max(65_535);
+const {
+	name, optionalName, count, port,
+} = memberFields;
 
 /** Validates a member record read from the store or received from a peer. */
 export const memberSchema = z.object({
-	nodeId: z.string().min(1),
-	incarnation: z.string().min(1),
-	address: z.string().min(1),
+	nodeId: name,
+	incarnation: name,
+	address: name,
 	peerPort: port,
 	gossipPort: port,
 	callerPort: port,
-	availabilityZone: z.string(),
-	region: z.string(),
+	availabilityZone: name,
+	region: name,
 	state: z.enum(MemberState),
-	service: z.string().optional(),
+	service: optionalName.optional(),
 	slots: count,
 	connections: count,
 	policyVersion: count,
--- a/src/services/membership/test/gossip.test.ts
+++ b/src/services/membership/test/gossip.test.ts
@@ -216,6 +216,33 @@
 	t.is(fleet.nodes[1].metrics.counters['gossip.malformed'], 6);
 });
 
+const wellFormed = {
+	nodeId: 'odd', incarnation: 'run-1', address: '127.0.0.1', peerPort: 1, gossipPort: 900, callerPort: 1, availabilityZone: 'zone-0', region: 'test', state: 'serving',
+	service: 'other', slots: 1, connections: 1, policyVersion: 1, revision: 1,
+};
+const oddRegistrations: ReadonlyArray<readonly [name: string, value: string]> = [
+	['is very deeply nested', `${'['.repeat(100_000)}${']'.repeat(100_000)}`],
+	['is nested deeply in a field', `{"nodeId":${'{"a":'.repeat(50_000)}1${'}'.repeat(50_000)}}`],
+	['has a number that is too large', JSON.stringify(wellFormed).replace('"slots":1', '"slots":1e400')],
+	['has a port out of range', JSON.stringify({...wellFormed, gossipPort: 70_000})],
+	['has a name longer than a datagram', JSON.stringify({...wellFormed, region: 'x'.repeat(5000)})],
+	['has a name that peers reject', JSON.stringify({...wellFormed, availabilityZone: ''})],
+];
+
+for (const [name, value] of oddRegistrations) {
+	// Another writer's entry could pass the check of registrations but not that of datagrams, and was then queued for broadcast before the others.
+	fleetTest(`a registration that ${name} does not keep nodes from following the others`, async (t, fleet) => {
+		await fleet.addMany(8);
+		await fleet.store.compareAndSwap(`${registrationPrefix}odd`, 0, value);
+		await fleet.clock.tickAsync(100);
+		fleet.store.setUnreachable(true);
+		fleet.nodes[3].membership.announce({...announcement, draining: true});
+		await fleet.clock.tickAsync(2000);
+		t.is(fleet.senders('node-3'), 0);
+		t.deepEqual(fleet.states('odd'), []);
+	});
+}
+
 fleetTest('two nodes of each availability zone watch the registrations', async (t, fleet) => {
 	await fleet.addMany(20);
 	await fleet.clock.tickAsync(10_000);
