Answer unreadable calls to the control address instead of ending the node

A path with a malformed escape, or a report that is broken off, rejected the handler's promise, which nobody handled: the runtime then ends the process. A report without end was read into memory without a bound.

Class: an asynchronous handler without an error path. Such calls are logged and answered with 400, and a report may have 64 KB.

'calls to the control address that are broken off, endless or have a malformed path do not end the node' failed before (no answer to the malformed path) and passes.

--- a/src/platform/control/control-server.ts
+++ b/src/platform/control/control-server.ts
@@ -1,14 +1,16 @@
 import {once} from 'node:events';
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import {type AddressInfo} from 'node:net';
-import {text} from 'node:stream/consumers';
 import {type Disposable} from '../../base/disposable.js';
+import {readBody} from '../../runtime/http/read-body.js';
 import {LogService} from '../../runtime/log/log-service.js';
 import {RelaySettingsService} from '../../runtime/settings/relay-settings-service.js';
 import {InstanceService} from '../../services/backend/instance-service.js';
 import {decodeReport} from './decode-report.js';
 
 const pathPrefix = '/v1/instances/';
+/** Far more than a report needs. */
+const maxReportBytes = 65_536;
 const okStatus = 200;
 const badRequestStatus = 400;
 const notFoundStatus = 404;
@@ -43,9 +45,17 @@
 	}
 
 	private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
-		const path = request.url ?? '';
-		const instanceId = path.startsWith(pathPrefix) ? decodeURIComponent(path.slice(pathPrefix.length)) : '';
-		const status = instanceId === '' ? notFoundStatus : await this.processReport(request, instanceId);
+		let status = badRequestStatus;
+		try {
+			const path = request.url ?? '';
+			const instanceId = path.startsWith(pathPrefix) ? decodeURIComponent(path.slice(pathPrefix.length)) : '';
+			status = instanceId === '' ? notFoundStatus : await this.processReport(request, instanceId);
+		} catch (error) {
+			this.log.warn('unreadable report', {path: request.url, method: request.method, reason: String(error)});
+			// The rest of the body is not read.
+			response.shouldKeepAlive = false;
+		}
+
 		response.writeHead(status, {'content-type': 'application/json'}).end('{}');
 	}
 
@@ -55,7 +65,7 @@
 			return okStatus;
 		}
 
-		const decoded = request.method === 'PUT' ? decodeReport(instanceId, await text(request)) : undefined;
+		const decoded = request.method === 'PUT' ? decodeReport(instanceId, new TextDecoder().decode(await readBody(request, maxReportBytes))) : undefined;
 		if (!decoded) {
 			this.log.warn('malformed report', {instance: instanceId, method: request.method});
 			return badRequestStatus;
--- a/standins/platform/test/relay-node.test.ts
+++ b/standins/platform/test/relay-node.test.ts
@@ -205,6 +205,25 @@
 	t.like(await send(desk.node.ports.outbound, {host: 'a.example', path: '/read/x', id: 'r1'}), {status: 200});
 });
 
+test('calls to the control address that are broken off, endless or have a malformed path do not end the node', async t => {
+	const {desk, catalogue} = await startPair(t);
+	const {control} = catalogue.node.ports;
+	t.like(await send(control, {
+		host: 'c', path: '/v1/instances/%E0%A4%A', id: 'r', method: 'PUT', body: '{}',
+	}), {status: 400});
+	const brokenOff = connect(control, '127.0.0.1');
+	brokenOff.write('PUT /v1/instances/i-x HTTP/1.1\r\nHost: c\r\nContent-Length: 100\r\n\r\n{"address"');
+	await sleep(50);
+	brokenOff.destroy();
+	t.like(await send(control, {
+		host: 'c', path: '/v1/instances/i-x', id: 'r', method: 'PUT', body: 'x'.repeat(100_000),
+	}), {status: 400});
+	t.like(await send(control, {
+		host: 'c', path: '/v1/instances/i-x', id: 'r', method: 'PUT', body: `{"address":${'['.repeat(20_000)}${']'.repeat(20_000)}}`,
+	}), {status: 400});
+	t.like(await send(desk.node.ports.outbound, {host: 'a.example', path: '/read/x', id: 'r1'}), {status: 200});
+});
+
 test('an execution that takes longer than the timeout of its route ends in a final answer and is cancelled', async t => {
 	const {desk, catalogue} = await startPair(t);
 	catalogue.backend.executionMs = 3000;
