Remember what a backend server states over a planned restart of its node

Entry nodes forgot the stated limit, and that a backend server leaves, when the node beside it announced that it left, which it does in every planned restart: the restarted node then used all slots until its first answer. The conditions are now kept for the latest 1,000 backend servers that stated one, whatever their nodes do.

'a restarted node keeps the limit ...' now stops the node as the platform does; it failed before (12 executions, 5 allowed) and passes.

--- a/src/services/relay/mesh-relay-service.ts
+++ b/src/services/relay/mesh-relay-service.ts
@@ -46,6 +46,8 @@
 const okStatus = 200;
 /** A request that fails with less than this fraction of its time remaining counts as late: nested calls reach their deadlines somewhat earlier. */
 const lateRemainingFraction = 0.2;
+/** Backend servers whose conditions are remembered, those with the latest statements. */
+const maxConditions = 1000;
 /** Outcome in the metrics for requests without any attempt. */
 const notSent = 'not-sent';
 const firstFailureStatus = 500;
@@ -95,7 +97,6 @@
 			});
 			if (goneStates.has(state)) {
 				this.chooser.evict(nodeId);
-				this.conditions.delete(nodeId);
 			}
 		});
 	}
@@ -225,12 +226,22 @@
 		this.callGraph.recordThreshold(service, this.chooser.thresholdOf(service), load.heard);
 	}
 
-	/** Remembers what an upstream's backend server states, for its node in case that restarts. Only an answer shows that nothing is stated any more. */
+	/**
+	Remembers what an upstream's backend server states, also after its node has left: the node may be restarting beside it.
+	Only an answer shows that nothing is stated any more.
+	*/
 	private recordCondition(nodeId: string, {condition, status}: RelayReply): void {
+		if (condition !== undefined || status !== undefined) {
+			this.conditions.delete(nodeId);
+		}
+
 		if (condition) {
 			this.conditions.set(nodeId, condition);
-		} else if (status !== undefined) {
-			this.conditions.delete(nodeId);
+		}
+
+		if (this.conditions.size > maxConditions) {
+			const [oldest] = this.conditions.keys();
+			this.conditions.delete(oldest);
 		}
 	}
 
--- a/standins/platform/test/relay-node.test.ts
+++ b/standins/platform/test/relay-node.test.ts
@@ -145,6 +145,7 @@
 	const {backend} = catalogue;
 	backend.statedLimit = 4;
 	t.like(await send(desk.node.ports.outbound, {host: 'a.example', path: '/read/x', id: 'first'}), {status: 200});
+	await catalogue.node.stop();
 	catalogue.node.dispose();
 	const restarted = await mesh.startNodeOf(backend, 'catalogue-1', 'zone-b');
 	const {incarnation} = restarted.membership.self;
