--- /dev/null
+++ b/standins/platform/test/start-pair.ts
@@ -0,0 +1,15 @@
+import {RelayMesh, until} from './relay-fixture.js';
+import {testRoutes} from './test-routes.js';
+
+/** Starts a node with a backend server of the desk and one with a backend server of the catalogue, in two availability zones, that know each other. */
+export async function startPair(t: ConstructorParameters<typeof RelayMesh>[0]) {
+	const mesh = new RelayMesh(t);
+	await mesh.store.listen();
+	mesh.configure(3, [testRoutes.read, testRoutes.charge]);
+	const desk = await mesh.startNode('desk-1', 'desk');
+	const catalogue = await mesh.startNode('catalogue-1', 'catalogue', 'zone-b');
+	await desk.backend.report(desk.node.ports.control, {seq: 1});
+	await catalogue.backend.report(catalogue.node.ports.control, {seq: 1});
+	await until(() => desk.membership.upstreams('catalogue').length === 1 && catalogue.membership.upstreams('desk').length === 1);
+	return {mesh, desk, catalogue};
+}
