Review case 1: show that requests run twice by the same fault

Behind refusals, the beginning of a second copy made the next answers look like refusals: bookings that had run were sent to another upstream or answered 503.

--- a/review/1/case.js
+++ b/review/1/case.js
@@ -11,42 +11,108 @@
 	return `HTTP/1.1 ${status}\r\nX-Request-Id: ${id}\r\nX-Server-Seal: seal.${id}\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
 }
 
+/** The first lines of an answer, of which a faulty upstream begins to send a second copy. */
+function firstLines(answer, count) {
+	return answer.split('\r\n').slice(0, count).map(line => `${line}\r\n`).join('');
+}
+
+/** Every second request fails. The others succeed, and a second copy of their answer is broken off after its first line. */
+class FailingUpstream extends RawUpstream {
+	constructor(machine, trouble) {
+		super(machine, `i-${machine.name}`, id => {
+			const isFailure = this.statuses.size % 2 === 1;
+			this.statuses.set(id, isFailure ? 500 : 200);
+			if (isFailure) {
+				return answerText(id, '500 Internal Server Error', `{"extended":false,"id":"${id}"}`);
+			}
+
+			const answer = answerText(id, '200 OK', `{"extended":true,"id":"${id}"}`);
+			return trouble ? answer + firstLines(answer, 1) : answer;
+		});
+		this.statuses = new Map();
+	}
+}
+
+/** Every fourth request is refused, and a second copy of the refusal is broken off after its second line. The others run. */
+class RefusingUpstream extends RawUpstream {
+	constructor(machine, trouble) {
+		super(machine, `i-${machine.name}`, id => {
+			this.count++;
+			if (this.count % 4 === 1) {
+				const refusal = `HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nX-Request-Id: ${id}\r\nContent-Length: 0\r\n\r\n`;
+				return trouble ? refusal + firstLines(refusal, 2) : refusal;
+			}
+
+			this.runs.push(id);
+			return answerText(id, '200 OK', `{"booked":true,"id":"${id}"}`);
+		});
+		this.count = 0;
+		this.runs = [];
+	}
+}
+
 await runCase(path.join(import.meta.dirname, 'record.txt'), async (installation, trouble) => {
-	installation.configure(7, [{
-		name: 'hire-extend', host, prefix: '/app/', kind: 'mutating', timeoutS: 5, goalS: 1.5, priority: 0, service: 'hire-desk', attempts: 2,
-	}], ['hire-desk']);
-	const machine = await installation.addMachine('sidecar-a-1', 'zone-a', 'hire-desk');
-	await machine.startNode();
-	const statuses = new Map();
-	const upstream = new RawUpstream(machine, 'i-a1', id => {
-		// Every second extension fails.
-		if (Number(id.split('-')[1]) % 2 === 0) {
-			statuses.set(id, 500);
-			return answerText(id, '500 Internal Server Error', `{"extended":false,"id":"${id}"}`);
-		}
+	const route = {
+		host, kind: 'mutating', timeoutS: 5, goalS: 1.5, priority: 0, attempts: 2,
+	};
+	installation.configure(7, [
+		{
+			...route, name: 'hire-extend', prefix: '/extend/', service: 'hire-desk',
+		},
+		{
+			...route, name: 'delivery-book', prefix: '/book/', service: 'dispatch',
+		},
+	], ['hire-desk', 'dispatch']);
+	const entry = await installation.addMachine('sidecar-a-1', 'zone-a', 'hire-desk');
+	const machines = [entry];
+	for (const name of ['sidecar-a-2', 'sidecar-a-3']) {
+		machines.push(await installation.addMachine(name, 'zone-a', 'dispatch', {portRange: entry.firstPort}));
+	}
 
-		statuses.set(id, 200);
-		const answer = answerText(id, '200 OK', `{"extended":true,"id":"${id}"}`);
-		// The faulty upstream begins to send the answer a second time, and breaks off after the first line.
-		return trouble ? answer + answer.slice(0, answer.indexOf('\r\n') + 2) : answer;
-	});
-	await upstream.start();
-	await sleep(1000);
+	const desk = new FailingUpstream(entry, trouble);
+	const dispatch = [new RefusingUpstream(machines[1], trouble), new RefusingUpstream(machines[2], trouble)];
+	for (const {machine} of [desk, ...dispatch]) {
+		await machine.startNode();
+	}
+
+	for (const upstream of [desk, ...dispatch]) {
+		await upstream.start();
+	}
+
+	await sleep(3000);
 	const breaches = [];
 	for (let count = 1; count <= requests; count++) {
 		const id = `extend-${count}`;
-		const client = new ClientConnection(machine, installation);
-		client.send({
-			method: 'POST', host, target: '/app/extend', id, deadlineMs: 5000, body: 'days=3',
-		});
-		const answer = await client.whenAnswered(id, 5000);
-		if (answer?.status === 200 && statuses.get(id) !== 200) {
-			breaches.push(`MIXED: the upstream answered ${id} with ${statuses.get(id)}, the client got ${answer.status} with the upstream's seal`);
+		const answer = await send(installation, entry, '/extend/hire', id);
+		if (answer?.status === 200 && desk.statuses.get(id) !== 200) {
+			breaches.push(`MIXED: the upstream answered ${id} with ${desk.statuses.get(id)}, the client got ${answer.status} with the upstream's seal`);
+		}
+	}
+
+	for (let count = 1; count <= requests; count++) {
+		const id = `book-${count}`;
+		const answer = await send(installation, entry, '/book/run', id);
+		const runs = dispatch.flatMap(upstream => upstream.runs).filter(run => run === id).length;
+		if (runs > 1) {
+			breaches.push(`TWICE: ${id} has run ${runs} times, the client got ${answer?.status}`);
+		} else if (runs === 1 && answer?.status === 503) {
+			breaches.push(`REFUSED: ${id} has run, the client got 503`);
 		}
+	}
 
-		client.socket.destroy();
+	for (const upstream of [desk, ...dispatch]) {
+		upstream.stop();
 	}
 
-	upstream.stop();
 	return breaches;
 });
+
+async function send(installation, machine, target, id) {
+	const client = new ClientConnection(machine, installation);
+	client.send({
+		method: 'POST', host, target, id, deadlineMs: 5000, body: 'days=3',
+	});
+	const answer = await client.whenAnswered(id, 5000);
+	client.socket.destroy();
+	return answer;
+}
--- a/review/stand-ins/raw-upstream.js
+++ b/review/stand-ins/raw-upstream.js
@@ -79,7 +79,7 @@
 					continue;
 				}
 
-				installation.record('upstream', `${name} runs ${id}`);
+				installation.record('upstream', `${name} receives ${id}`);
 				const text = this.answer(id);
 				installation.record('upstream', `${name} writes ${JSON.stringify(text)}`);
 				socket.write(text, 'latin1');
