--- a/review/4/case.js
+++ b/review/4/case.js
@@ -30,7 +30,8 @@
 		machine.upstream = new Upstream(machine, `i-${machine.name}`);
 		await machine.upstream.start();
 	}));
-	await sleep(idleMs);
+	// All watches have been waiting for longer than this by then.
+	await sleep(idleMs + 300);
 	if (trouble) {
 		installation.record('network', `loses track of ${proxy.loseIdle(idleMs)} idle connections to the store`);
 	}
