--- a/review/1/case.js
+++ b/review/1/case.js
@@ -5,7 +5,9 @@
 import {RawUpstream} from '../stand-ins/raw-upstream.js';
 
 const host = 'hire.example';
-const requests = 40;
+const requests = 600;
+/** Behind one answer in this many, a faulty upstream sends additional bytes. */
+const faultInterval = 20;
 
 function answerText(id, status, body) {
 	return `HTTP/1.1 ${status}\r\nX-Request-Id: ${id}\r\nX-Server-Seal: seal.${id}\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
@@ -16,31 +18,31 @@
 	return answer.split('\r\n').slice(0, count).map(line => `${line}\r\n`).join('');
 }
 
-/** Every second request fails. The others succeed, and a second copy of their answer is broken off after its first line. */
+/** One answer in 20 is followed by the first line of a second copy if the upstream is faulty. The request after it fails. */
 class FailingUpstream extends RawUpstream {
-	constructor(machine, trouble) {
+	constructor(machine, isFaulty) {
 		super(machine, `i-${machine.name}`, id => {
-			const isFailure = this.statuses.size % 2 === 1;
-			this.statuses.set(id, isFailure ? 500 : 200);
-			if (isFailure) {
+			const phase = this.statuses.size % faultInterval;
+			this.statuses.set(id, phase === 1 ? 500 : 200);
+			if (phase === 1) {
 				return answerText(id, '500 Internal Server Error', `{"extended":false,"id":"${id}"}`);
 			}
 
 			const answer = answerText(id, '200 OK', `{"extended":true,"id":"${id}"}`);
-			return trouble ? answer + firstLines(answer, 1) : answer;
+			return isFaulty && phase === 0 ? answer + firstLines(answer, 1) : answer;
 		});
 		this.statuses = new Map();
 	}
 }
 
-/** Every fourth request is refused, and a second copy of the refusal is broken off after its second line. The others run. */
+/** One request in 20 is refused; the refusal is followed by the first two lines of a second copy if the upstream is faulty. The others run. */
 class RefusingUpstream extends RawUpstream {
-	constructor(machine, trouble) {
+	constructor(machine, isFaulty) {
 		super(machine, `i-${machine.name}`, id => {
 			this.count++;
-			if (this.count % 4 === 1) {
+			if (this.count % faultInterval === 1) {
 				const refusal = `HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nX-Request-Id: ${id}\r\nContent-Length: 0\r\n\r\n`;
-				return trouble ? refusal + firstLines(refusal, 2) : refusal;
+				return isFaulty ? refusal + firstLines(refusal, 2) : refusal;
 			}
 
 			this.runs.push(id);
@@ -63,29 +65,27 @@
 			...route, name: 'delivery-book', prefix: '/book/', service: 'dispatch',
 		},
 	], ['hire-desk', 'dispatch']);
-	const entry = await installation.addMachine('sidecar-a-1', 'zone-a', 'hire-desk');
-	const machines = [entry];
-	for (const name of ['sidecar-a-2', 'sidecar-a-3']) {
-		machines.push(await installation.addMachine(name, 'zone-a', 'dispatch', {portRange: entry.firstPort}));
+	const machines = [];
+	for (const service of ['hire-desk', 'hire-desk', 'dispatch', 'dispatch']) {
+		const name = `sidecar-a-${machines.length + 1}`;
+		machines.push(await installation.addMachine(name, 'zone-a', service, machines[0] && {portRange: machines[0].firstPort}));
 	}
 
-	const desk = new FailingUpstream(entry, trouble);
-	const dispatch = [new RefusingUpstream(machines[1], trouble), new RefusingUpstream(machines[2], trouble)];
-	for (const {machine} of [desk, ...dispatch]) {
-		await machine.startNode();
-	}
-
-	for (const upstream of [desk, ...dispatch]) {
+	// One upstream of each service is faulty.
+	const [entry] = machines;
+	const desk = [new FailingUpstream(machines[0], trouble), new FailingUpstream(machines[1], false)];
+	const dispatch = [new RefusingUpstream(machines[2], trouble), new RefusingUpstream(machines[3], false)];
+	await Promise.all([...desk, ...dispatch].map(async upstream => {
+		await upstream.machine.startNode();
 		await upstream.start();
-	}
-
+	}));
 	await sleep(3000);
 	const breaches = [];
 	for (let count = 1; count <= requests; count++) {
 		const id = `extend-${count}`;
 		const answer = await send(installation, entry, '/extend/hire', id);
-		if (answer?.status === 200 && desk.statuses.get(id) !== 200) {
-			breaches.push(`MIXED: the upstream answered ${id} with ${desk.statuses.get(id)}, the client got ${answer.status} with the upstream's seal`);
+		if (answer?.status === 200 && desk.every(({statuses}) => statuses.get(id) !== 200)) {
+			breaches.push(`MIXED: the upstream answered ${id} with 500, the client got 200 with the upstream's seal`);
 		}
 	}
 
@@ -100,7 +100,7 @@
 		}
 	}
 
-	for (const upstream of [desk, ...dispatch]) {
+	for (const upstream of [...desk, ...dispatch]) {
 		upstream.stop();
 	}
 
