Close connections with bytes behind an answer, and reject malformed answer heads

Callers saw a failure of a backend server as a success (MIXED), and bookings that ran twice or were answered 503 although they had run.

Cause: the first lines of a second answer stayed in the parser of a connection that was reused, and the parser ignores header lines without a colon, so the status line of the right answer was skipped.

Excluded: that closing the connection is enough.

Why it works: a byte behind an answer belongs to no request, whatever it is, so the connection ends with it; and no line of an answer is skipped any more, so a stray line ahead of an answer makes the head malformed.

--- a/src/runtime/peer/test/peer-fixture.ts
+++ b/src/runtime/peer/test/peer-fixture.ts
@@ -8,7 +8,7 @@
 import {FramedPeerService} from '../framed-peer-service.js';
 import {PeerService} from '../peer-service.js';
 
-const silentLog: LogService = {
+export const silentLog: LogService = {
 	debug() {/* Discarded. */},
 	info() {/* Discarded. */},
 	warn() {/* Discarded. */},
--- a/src/services/exchange/answer-parser.ts
+++ b/src/services/exchange/answer-parser.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {type BodyReservation} from '../../runtime/http/body-reservation.js';
+import {findHeaders} from '../../runtime/http/find-headers.js';
 import {StrictHttpParser} from './strict-http-parser.js';
 
 export type ParsedAnswer = {
@@ -18,6 +19,11 @@
 const framingPerBodyByte = 8;
 /** Lower statuses are interim answers, after which the final answer follows. */
 const firstFinalStatus = 200;
+const switchingProtocolsStatus = 101;
+const noContentStatus = 204;
+const notModifiedStatus = 304;
+/** Minor version of HTTP/1 from which bodies may come in chunks. */
+const firstChunkedMinorVersion = 1;
 
 /** Parses the answers on one connection to a backend server, with any HTTP/1.1 framing. */
 export class AnswerParser {
@@ -30,10 +36,14 @@
 	private hasStarted = false;
 
 	constructor(private readonly maxBodyBytes: number, private readonly bodyReservation: BodyReservation, private readonly onAnswer: (answer: ParsedAnswer) => void) {
-		this.parser.onHeadersComplete = ({statusCode, headers, shouldKeepAlive}) => {
-			checkContentLength(headers);
+		this.parser.onHeadersComplete = ({statusCode, versionMinor, headers, shouldKeepAlive}) => {
+			checkFraming(headers, versionMinor);
+			if (statusCode === switchingProtocolsStatus) {
+				throw new Error('the answer switches protocols');
+			}
+
 			this.head = {status: statusCode, headers, keepsAlive: shouldKeepAlive};
-			return this.skipsBody;
+			return this.skipsBody || isBodiless(statusCode);
 		};
 
 		this.parser.onBody = (bytes, offset, length) => {
@@ -45,7 +55,7 @@
 		};
 	}
 
-	/** Whether part of an answer has arrived. */
+	/** Whether bytes have arrived since the last complete answer. */
 	get hasPartialAnswer(): boolean {
 		return this.hasStarted;
 	}
@@ -94,18 +104,27 @@
 		this.bodyBytes = 0;
 		this.bodyReservation.dispose();
 		if (head && head.status >= firstFinalStatus) {
-			this.receivedBytes = 0;
-			this.hasStarted = false;
+			this.receivedBytes = this.parser.unreadBytes;
+			this.hasStarted = this.receivedBytes > 0;
 			this.onAnswer({...head, body: chunks.length === 1 ? chunks[0] : Buffer.concat(chunks)});
 		}
 	}
 }
 
-/** Rejects a malformed Content-Length header, which the library's parser would take for the end of the body. */
-function checkContentLength(headers: readonly string[]): void {
-	for (let index = 0; index < headers.length; index += 2) {
-		if (headers[index].toLowerCase() === 'content-length' && !/^\d+$/v.test(headers[index + 1])) {
-			throw new Error('the answer has a malformed Content-Length header');
-		}
+/** Whether an answer of this status ends with its head, whatever its headers say. */
+function isBodiless(status: number): boolean {
+	return status < firstFinalStatus || status === noContentStatus || status === notModifiedStatus;
+}
+
+/** Rejects headers that leave the end of the body in doubt, of which the library's parser would choose one reading. */
+function checkFraming(headers: readonly string[], versionMinor: number): void {
+	const lengths = findHeaders(headers, 'content-length');
+	if (!lengths.every(value => /^\d+$/v.test(value) && value === lengths[0])) {
+		throw new Error('the answer has a malformed Content-Length header');
+	}
+
+	const codings = findHeaders(headers, 'transfer-encoding');
+	if (codings.length > 0 && (codings.length > 1 || codings[0].toLowerCase() !== 'chunked' || lengths.length > 0 || versionMinor < firstChunkedMinorVersion)) {
+		throw new Error('the answer has a malformed Transfer-Encoding header');
 	}
 }
--- a/src/services/exchange/exchange-connection.ts
+++ b/src/services/exchange/exchange-connection.ts
@@ -6,6 +6,7 @@
 import {type BodyReservation} from '../../runtime/http/body-reservation.js';
 import {type HeaderNames} from '../../runtime/http/header-names.js';
 import {findHeader} from '../../runtime/http/find-header.js';
+import {findHeaders} from '../../runtime/http/find-headers.js';
 import {AnswerParser, type ParsedAnswer} from './answer-parser.js';
 import {type ExchangeRequest} from './exchange-request.js';
 
@@ -29,6 +30,8 @@
 	readonly maxAnswerBytes: number;
 	/** Counts the bytes held for incomplete answers. */
 	readonly bodyReservation: BodyReservation;
+	/** Called with the reason when bytes arrive that belong to no request; the connection is closed. */
+	readonly onStrayBytes: (reason: string) => void;
 };
 
 /** A connection to the VM's backend server that carries one request at a time. */
@@ -137,7 +140,7 @@
 
 	private read(bytes: Uint8Array): void {
 		if (!this.pending) {
-			this.fail('the backend server sent data without a request');
+			this.rejectStrayBytes('the backend server sent data without a request');
 			return;
 		}
 
@@ -146,6 +149,18 @@
 		} catch (error) {
 			this.fail(error instanceof Error ? error.message : 'the received data is not an HTTP answer');
 		}
+
+		// Bytes behind an answer belong to no request: they would become the head of the next answer.
+		if (!this.pending && this.parser.hasPartialAnswer) {
+			this.rejectStrayBytes('the backend server sent data behind its answer');
+		}
+	}
+
+	private rejectStrayBytes(reason: string): void {
+		if (this.isOpen) {
+			this.options.onStrayBytes(reason);
+			this.fail(reason);
+		}
 	}
 
 	private receive(answer: ParsedAnswer): void {
@@ -155,7 +170,13 @@
 			return;
 		}
 
-		const echoedId = findHeader(answer.headers, this.names.requestId);
+		const echoedIds = findHeaders(answer.headers, this.names.requestId);
+		if (echoedIds.length > 1) {
+			this.fail('the answer has several request ids');
+			return;
+		}
+
+		const [echoedId] = echoedIds;
 		if (echoedId !== undefined && echoedId !== pending.request.requestId) {
 			// A late answer to an earlier request: the right answer may follow, but the connection is not reused.
 			this.mustClose = true;
--- a/src/services/exchange/pooled-exchange-service.ts
+++ b/src/services/exchange/pooled-exchange-service.ts
@@ -3,6 +3,7 @@
 import {KumquatlineError} from '../../base/kumquatline-error.js';
 import {BodyBudget} from '../../runtime/http/body-budget.js';
 import {HeaderNames} from '../../runtime/http/header-names.js';
+import {LogService} from '../../runtime/log/log-service.js';
 import {MetricsService} from '../../runtime/metrics/metrics-service.js';
 import {RelaySettingsService} from '../../runtime/settings/relay-settings-service.js';
 import {findHeader} from '../../runtime/http/find-header.js';
@@ -31,6 +32,7 @@
 		@RelaySettingsService private readonly settings: RelaySettingsService,
 		@HeaderNames private readonly names: HeaderNames,
 		@MetricsService private readonly metrics: MetricsService,
+		@LogService private readonly log: LogService,
 	) {}
 
 	async exchange(request: ExchangeRequest, signal: AbortSignal): Promise<ExchangeAnswer> {
@@ -79,7 +81,15 @@
 		const {backendHost, backendPort} = this.settings.relay;
 		this.metrics.count('exchange.connections');
 		const connection = new ExchangeConnection({
-			host: backendHost, port: backendPort, connectTimeoutMs, maxAnswerBytes, bodyReservation: this.answerBudget.createReservation(),
+			host: backendHost,
+			port: backendPort,
+			connectTimeoutMs,
+			maxAnswerBytes,
+			bodyReservation: this.answerBudget.createReservation(),
+			onStrayBytes: reason => {
+				this.metrics.count('exchange.stray');
+				this.log.warn('connection to the backend server closed', {reason});
+			},
 		}, this.names);
 		try {
 			await connection.whenConnected();
--- a/src/services/exchange/strict-http-parser.ts
+++ b/src/services/exchange/strict-http-parser.ts
@@ -1,10 +1,22 @@
 import {HTTPParser} from 'http-parser-js';
 
+/** Head of an answer as the library passes it on. */
+type AnswerHead = {
+	headers: string[];
+	versionMajor: number;
+	versionMinor: number;
+	statusCode: number;
+	shouldKeepAlive: boolean;
+};
+
 /** The members of the library's parser that are used or overridden here. */
-export type HttpParserParts = {
+type HttpParserParts = {
 	body_bytes: number | undefined;
-	readonly info: {readonly headers: string[]; readonly statusCode: number; readonly shouldKeepAlive: boolean};
-	onHeadersComplete: (info: HttpParserParts['info']) => boolean;
+	readonly info: AnswerHead;
+	/** Position in the piece that is parsed, and its end. */
+	readonly offset: number;
+	readonly end: number;
+	onHeadersComplete: (info: AnswerHead) => boolean;
 	onBody: (bytes: Uint8Array, offset: number, length: number) => void;
 	onMessageComplete: () => void;
 	state: string;
@@ -12,15 +24,55 @@
 	finish(): Error | undefined;
 	consumeLine(): string | undefined;
 	HEADER(): boolean | undefined;
+	parseHeader(line: string, headers: string[]): void;
 };
 
 const LenientParser = HTTPParser as unknown as new (type: 'RESPONSE') => HttpParserParts;
 
+// The library's ASCII decoder drops the highest bit, which turns other characters into separators.
+HTTPParser.encoding = 'latin1';
+
+const statusLine = /^HTTP\/1\.([01]) ([1-5]\d{2})(?: [\t\u0020-\u007E\u0080-\u00FF]*)?$/v;
+/** Name, colon and value without control characters. A folded line has no name. */
+const headerLine = /^[!#$%\u0026'*+.^_`\|~\dA-Za-z\-]+:[\t\u0020-\u007E\u0080-\u00FF]*$/v;
+/** Start of another answer behind one that broke off within a line. */
+const innerStatusLine = /HTTP\/1\.[01] [1-5]\d{2}(?: |$)/v;
 /** Hexadecimal size, with optional extensions that are ignored. */
-const chunkHead = /^([\da-f]{1,8})\s*(?:;.*)?$/iv;
+const chunkHead = /^([\da-f]{1,8})[\t ]*(?:;.*)?$/iv;
 
-/** Rejects malformed chunk sizes, which the library's parser would take for the end of the body. */
+/** Rejects answers that RFC 9112 calls malformed, of which the library's parser skips or reinterprets the malformed part. */
 export class StrictHttpParser extends LenientParser {
+	/** Number of bytes of the piece being parsed that lie behind the current position. */
+	get unreadBytes(): number {
+		return this.end - this.offset;
+	}
+
+	override parseHeader(line: string, headers: string[]): void {
+		if (!headerLine.test(line) || innerStatusLine.test(line)) {
+			throw new Error('the answer has a malformed header line');
+		}
+
+		super.parseHeader(line, headers);
+	}
+
+	protected RESPONSE_LINE(): void {
+		const line = this.consumeLine();
+		if (line === undefined || line === '') {
+			return;
+		}
+
+		const match = statusLine.exec(line);
+		if (!match || innerStatusLine.test(line.slice(1))) {
+			throw new Error('the answer has a malformed status line');
+		}
+
+		const [, minorVersion, status] = match;
+		this.info.versionMajor = 1;
+		this.info.versionMinor = Number(minorVersion);
+		this.info.statusCode = Number(status);
+		this.state = 'HEADER';
+	}
+
 	protected BODY_CHUNKHEAD(): void {
 		const line = this.consumeLine();
 		if (line === undefined) {
--- a/src/services/exchange/test/raw-backend.ts
+++ b/src/services/exchange/test/raw-backend.ts
@@ -3,9 +3,10 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Kernel} from '../../../runtime/kernel/kernel.js';
 import {HeaderNames} from '../../../runtime/http/header-names.js';
+import {LogService} from '../../../runtime/log/log-service.js';
 import {MetricsService} from '../../../runtime/metrics/metrics-service.js';
 import {StatsdMetricsService} from '../../../runtime/metrics/statsd-metrics-service.js';
-import {testSettings} from '../../../runtime/peer/test/peer-fixture.js';
+import {silentLog, testSettings} from '../../../runtime/peer/test/peer-fixture.js';
 import {FixedSettingsService} from '../../../runtime/settings/fixed-settings-service.js';
 import {RelaySettingsService} from '../../../runtime/settings/relay-settings-service.js';
 import {SettingsService} from '../../../runtime/settings/settings-service.js';
@@ -53,6 +54,7 @@
 		.registerInstance(RelaySettingsService, {relay: {backendHost: '127.0.0.1', backendPort: port}} as unknown as RelaySettingsService)
 		.registerInstance(HeaderNames, testHeaderNames)
 		.register(MetricsService, StatsdMetricsService)
+		.registerInstance(LogService, silentLog)
 		.register(ExchangeService, PooledExchangeService);
 	t.teardown(() => {
 		kernel.dispose();
