Count a peer's word on the policy version from when the store said it

Cause: every datagram with the same version counted as a confirmation, so nodes with silent watches confirmed the old version to each other, and none read the store.

Excluded: lost reads. All calls worked while the watches were silent; no node made one.

Why it works: datagrams carry the age of the store's confirmation. Nobody's confirmation grows younger by being passed on, so somebody's read comes within half of the bound, and a node that nobody tells reads by itself.

--- a/prove/naive/any-event-policy-service.ts
+++ b/prove/naive/any-event-policy-service.ts
@@ -7,6 +7,7 @@
 import {type PeerAddress} from '../../src/runtime/peer/peer-address.js';
 import {PeerService} from '../../src/runtime/peer/peer-service.js';
 import {StoreService} from '../../src/runtime/store/store-service.js';
+import {type Confirmation} from '../../src/services/policy/confirmation.js';
 import {encodePolicyUpdate} from '../../src/services/policy/encode-policy-update.js';
 import {makePatchedPolicy} from '../../src/services/policy/make-patched-policy.js';
 import {makeFirstPolicy} from '../../src/services/policy/make-first-policy.js';
@@ -22,6 +23,8 @@
 /** Naive variant of learning versions: adopts whatever version a watch or a peer reported last. */
 export class AnyEventPolicyService implements PolicyService, Disposable {
 	readonly onDidChange: Event<Policy>;
+	readonly confirmationAgeMs = Number.POSITIVE_INFINITY;
+	readonly onDidConfirm: Event<Confirmation> = new Emitter<Confirmation>().event;
 	private readonly changeEmitter = new Emitter<Policy>();
 	private policy: Policy | undefined;
 	private watch: Disposable | undefined;
@@ -72,7 +75,7 @@
 		return this.current;
 	}
 
-	recordPeerContact(): void {/* The naive variant relies on its events. */}
+	recordPeerConfirmation(): void {/* The naive variant relies on its events. */}
 
 	recordPeerVersion(version: number, peer: PeerAddress): void {
 		if (version !== this.version) {
--- a/src/services/membership/decode-message.ts
+++ b/src/services/membership/decode-message.ts
@@ -33,6 +33,7 @@
 	name,
 	count,
 	count,
+	count,
 	optionalName,
 	z.array(updateTuple),
 ]);
@@ -48,7 +49,7 @@
 }
 
 function toMessage(tuple: z.infer<typeof messageTuple>): GossipMessage {
-	const [kind, sequence, nodeId, incarnation, revision, policyVersion, targetNodeId, updates] = tuple;
+	const [kind, sequence, nodeId, incarnation, revision, policyVersion, confirmationAgeMs, targetNodeId, updates] = tuple;
 	return {
 		kind,
 		sequence,
@@ -56,6 +57,7 @@
 		incarnation,
 		revision,
 		policyVersion,
+		confirmationAgeMs,
 		targetNodeId,
 		updates: updates.map(update => toUpdate(update)),
 	};
--- a/src/services/membership/encode-message.ts
+++ b/src/services/membership/encode-message.ts
@@ -9,6 +9,7 @@
 		message.incarnation,
 		message.revision,
 		message.policyVersion,
+		message.confirmationAgeMs,
 		message.targetNodeId,
 	]);
 	return `${head.slice(0, -1)},[${updates.join(',')}]]`;
--- a/src/services/membership/gossip-channel.ts
+++ b/src/services/membership/gossip-channel.ts
@@ -29,6 +29,8 @@
 };
 
 const maxDatagramBytes = 1200;
+/** Age sent for confirmations that are older, or if there is none; far above any time within which a change has to be in force. */
+const maxConfirmationAgeMs = 3_600_000;
 /** Size of the IP and UDP headers of a datagram. */
 const headerBytes = 28;
 /** Typical size of a datagram without updates. */
@@ -66,7 +68,14 @@
 	send(to: GossipAddress, kind: GossipMessageKind, options: SendOptions = {}): void {
 		const {nodeId, incarnation, revision, policyVersion} = this.host.self;
 		const message = {
-			kind, nodeId, incarnation, revision, policyVersion, sequence: options.sequence ?? 0, targetNodeId: options.targetNodeId ?? '',
+			kind,
+			nodeId,
+			incarnation,
+			revision,
+			policyVersion,
+			confirmationAgeMs: Math.ceil(Math.min(this.host.confirmationAgeMs, maxConfirmationAgeMs)),
+			sequence: options.sequence ?? 0,
+			targetNodeId: options.targetNodeId ?? '',
 		};
 		const own = (options.members ?? []).map(member => encodeMemberUpdate(member));
 		const ownBytes = Buffer.byteLength(encodeMessage(message, own));
--- a/src/services/membership/gossip-membership-service.ts
+++ b/src/services/membership/gossip-membership-service.ts
@@ -9,6 +9,7 @@
 import {StoreService} from '../../runtime/store/store-service.js';
 import {PolicyService} from '../policy/policy-service.js';
 import {type BackendAnnouncement} from './backend-announcement.js';
+import {ConfirmationBroadcast} from './confirmation-broadcast.js';
 import {type DatagramSocket} from './datagram-socket.js';
 import {FailureDetector} from './failure-detector.js';
 import {GossipChannel} from './gossip-channel.js';
@@ -160,11 +161,15 @@
 		const channel = this.disposables.add(new GossipChannel(socket, host, this.table, this.metrics));
 		const gossiper = this.disposables.add(new Gossiper(host, this.table, channel, this.random, gossipIntervalMs));
 		const detector = this.disposables.add(new FailureDetector(host, this.table, channel, gossiper, this.random, this.metrics, gossipIntervalMs));
+		const confirmations = new ConfirmationBroadcast(host, this.table, channel, this.random);
 		const join = this.disposables.add(new PeerJoin(this.peers, this.table, channel, host, this.settings.settings.seedAddresses));
 		this.disposables.add(this.policy.onDidChange(() => {
 			this.table.put(this.self);
 			gossiper.broadcastPolicyVersion();
 		}));
+		this.disposables.add(this.policy.onDidConfirm(confirmation => {
+			confirmations.send(confirmation);
+		}));
 		this.gossiper = gossiper;
 		void gossiper.run(this.stop.signal);
 		void detector.run(this.stop.signal);
@@ -190,10 +195,14 @@
 
 	private createHost(): GossipHost {
 		const self = () => this.self;
+		const {policy} = this;
 		return {
 			get self() {
 				return self();
 			},
+			get confirmationAgeMs() {
+				return policy.confirmationAgeMs;
+			},
 			refute: revision => {
 				this.metrics.count('gossip.refuted');
 				this.revision = Math.max(this.revision, revision);
@@ -208,8 +217,8 @@
 			notifyBacklog: () => {
 				this.reader?.listSoon();
 			},
-			notifyDatagram: policyVersion => {
-				this.policy.recordPeerContact(policyVersion);
+			notifyConfirmation: (policyVersion, ageMs) => {
+				this.policy.recordPeerConfirmation(policyVersion, ageMs);
 			},
 			notifyPolicyVersion: member => {
 				if (member.policyVersion > this.policy.version) {
--- a/src/services/membership/gossiper.ts
+++ b/src/services/membership/gossiper.ts
@@ -169,7 +169,7 @@
 	}
 
 	private recordPolicyVersion(message: GossipMessage, sender: Member): void {
-		this.host.notifyDatagram(message.policyVersion);
+		this.host.notifyConfirmation(message.policyVersion, message.confirmationAgeMs);
 		const member = {...sender, policyVersion: Math.max(sender.policyVersion, message.policyVersion)};
 		if (member.policyVersion > sender.policyVersion) {
 			this.table.put(member);
--- a/src/services/membership/test/versioned-policy.ts
+++ b/src/services/membership/test/versioned-policy.ts
@@ -1,4 +1,5 @@
 import {Emitter} from '../../../base/emitter.js';
+import {type Confirmation} from '../../policy/confirmation.js';
 import {type Policy} from '../../policy/policy.js';
 import {type PolicyService} from '../../policy/policy-service.js';
 
@@ -6,6 +7,8 @@
 export class VersionedPolicy implements PolicyService {
 	readonly onDidChange;
 	version = 1;
+	readonly confirmationAgeMs = Number.POSITIVE_INFINITY;
+	readonly onDidConfirm = new Emitter<Confirmation>().event;
 	private readonly changeEmitter = new Emitter<Policy>();
 
 	constructor() {
@@ -23,7 +26,7 @@
 		}
 	}
 
-	recordPeerContact(): void {/* There is no store to read. */}
+	recordPeerConfirmation(): void {/* There is no store to read. */}
 
 	async start(): Promise<void> {/* Nothing to follow. */}
 
--- a/src/services/policy/policy-service.ts
+++ b/src/services/policy/policy-service.ts
@@ -2,6 +2,7 @@
 import {type Event} from '../../base/event.js';
 import {createServiceId} from '../../runtime/kernel/create-service-id.js';
 import {type PeerAddress} from '../../runtime/peer/peer-address.js';
+import {type Confirmation} from './confirmation.js';
 import {type Policy} from './policy.js';
 
 export type PolicyPatch = {
@@ -23,6 +24,10 @@
 	/** Version of the policy in force; 0 if there is none yet. */
 	readonly version: number;
 	readonly onDidChange: Event<Policy>;
+	/** Time since the store is known to have held no version newer than the one in force; infinite if it never was. */
+	readonly confirmationAgeMs: number;
+	/** Fires when peers should be told of a younger confirmation. */
+	readonly onDidConfirm: Event<Confirmation>;
 	/** Loads the policy from the store, if it responds in time, then follows changes. */
 	start(signal: AbortSignal): Promise<void>;
 	/** Writes the first policy, as version 1. Throws `policy-conflict` if there is a policy already, `policy-invalid` or `store-unavailable`. */
@@ -38,8 +43,8 @@
 	restore(signal: AbortSignal): Promise<PatchResult>;
 	/** Records that a peer has this version, as received by gossip; a newer version is then fetched from it. */
 	recordPeerVersion(version: number, peer: PeerAddress): void;
-	/** Records that a peer with this version in force has just been heard; a node that hears no peer reads the store itself. */
-	recordPeerContact(version: number): void;
+	/** Records that, according to a peer, the store held no version newer than this one at the time that lies `ageMs` back. */
+	recordPeerConfirmation(version: number, ageMs: number): void;
 }
 
 export const PolicyService = createServiceId<PolicyService>('policy');
--- a/src/services/policy/stored-policy-service.ts
+++ b/src/services/policy/stored-policy-service.ts
@@ -1,3 +1,4 @@
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {type RandomGenerator} from 'pure-rand/types/RandomGenerator';
 import {createRandom} from '../../base/create-random.js';
 import {type Disposable} from '../../base/disposable.js';
@@ -15,6 +16,7 @@
 import {Backoff} from '../../runtime/store/backoff.js';
 import {type StoreEntry} from '../../runtime/store/store-entry.js';
 import {type StoreListing, StoreService} from '../../runtime/store/store-service.js';
+import {Confirmation} from './confirmation.js';
 import {encodePolicyUpdate} from './encode-policy-update.js';
 import {makeFirstPolicy} from './make-first-policy.js';
 import {makePatchedPolicy} from './make-patched-policy.js';
@@ -28,23 +30,32 @@
 import {type Policy} from './policy.js';
 import {PolicyWriter} from './policy-writer.js';
 import {policyRejection} from './policy-rejection.js';
+import {VersionConfirmation} from './version-confirmation.js';
 
 /** Time after which a watch without changes is renewed, so that one that is silently dead ends. Each renewal is a call to the store from every node. */
 const watchCheckIntervalMs = 10_000;
 const defaultInForceWithinMs = 3000;
-/** Fraction of the time within which a change has to be in force after which a node without word of the version reads the store. */
-const unconfirmedFraction = 0.5;
-const checksPerBound = 6;
+/**
+Fractions of the time within which a change has to be in force: a node without confirmation reads the store between `firstReadFraction` and
+`lastReadFraction` after the last one, and no more often than once in `lastReadFraction`. The node that comes first tells its peers, so
+the others seldom read.
+*/
+const firstReadFraction = 0.35;
+const lastReadFraction = 0.5;
+/** Fraction of the same time by which a confirmation has to be younger to be told to peers: more than two reads for the same confirmation lie apart. */
+const newsFraction = 0.25;
 const firstBackoffMs = 200;
 const backoffLimitMs = 5000;
 
 /** Keeps the policy in force: watches the store, and fetches versions that it doesn't get there from peers; never goes back to an earlier version. */
 export class StoredPolicyService implements PolicyService, Disposable {
 	readonly onDidChange: Event<Policy>;
+	readonly onDidConfirm: Event<Confirmation>;
 	/** Key of the policy in the store. */
 	protected readonly key: string = policyKey;
 	private readonly disposables = new DisposableStore();
 	private readonly changeEmitter = this.disposables.add(new Emitter<Policy>());
+	private readonly confirmEmitter = this.disposables.add(new Emitter<Confirmation>());
 	private readonly random: RandomGenerator;
 	private readonly fetcher: PolicyFetcher;
 	private readonly writer: PolicyWriter;
@@ -54,8 +65,11 @@
 	/** Highest version that a peer has announced, and when. */
 	private announcedVersion = 0;
 	private announcedAtMs = 0;
-	/** When the store or a peer last told which version is in force. */
-	private confirmedAtMs = 0;
+	private readonly confirmation = new VersionConfirmation();
+	/** Entry of the store that was decoded last, which need not be decoded again. */
+	private decodedEntry: StoreEntry | undefined;
+	/** When this node last began to read the policy because it was not confirmed. */
+	private readAtMs = 0;
 	private readonly stop = new AbortController();
 
 	constructor(
@@ -66,6 +80,7 @@
 	) {
 		const {nodeId, seed, probeAfterMs, abandonAfterMs} = settingsService.settings;
 		this.onDidChange = this.changeEmitter.event;
+		this.onDidConfirm = this.confirmEmitter.event;
 		this.random = createRandom(seed, `${nodeId}/policy`);
 		this.writer = new PolicyWriter(store, () => this.createBackoff(), () => this.version, ({policy, modRevision}) => {
 			this.adoptPolicy(policy, modRevision, 'write');
@@ -99,6 +114,10 @@
 		return this.policy?.version ?? 0;
 	}
 
+	get confirmationAgeMs(): number {
+		return performance.now() - this.confirmation.atMs;
+	}
+
 	async start(signal: AbortSignal): Promise<void> {
 		this.disposables.add(this.peers.handle(policyMethod, async ({version}) => encodePolicyUpdate(this.policy, this.modRevision, version)));
 		this.watchStore(await this.readStore(signal));
@@ -151,9 +170,10 @@
 		this.fetcher.recordPeerVersion(version, peer);
 	}
 
-	recordPeerContact(version: number): void {
-		if (version >= this.version) {
-			this.confirmedAtMs = performance.now();
+	recordPeerConfirmation(version: number, ageMs: number): void {
+		// What a peer knows of a newer version says nothing of the one in force here.
+		if (version <= this.version) {
+			this.notifyConfirmed(this.confirmation.recordOfPeer(ageMs, performance.now()), Confirmation.Peer);
 		}
 	}
 
@@ -198,6 +218,11 @@
 			return;
 		}
 
+		if (entry.modRevision === this.decodedEntry?.modRevision && entry.value === this.decodedEntry.value) {
+			return;
+		}
+
+		this.decodedEntry = entry;
 		try {
 			const policy = this.decode(entry.value);
 			if (policy.version < this.version && entry.modRevision > this.modRevision) {
@@ -212,14 +237,16 @@
 
 	/** Reads the policy once; undefined if the store does not answer. */
 	private async readStore(signal: AbortSignal): Promise<StoreListing | undefined> {
+		const startedAtMs = performance.now();
 		try {
 			const listing = await this.store.list(this.key, signal);
-			this.confirmedAtMs = performance.now();
 			const entry = listing.entries.find(({key}) => key === this.key);
 			if (entry) {
 				this.adoptEntry(entry, 'read');
 			}
 
+			// The store held this version when the read arrived there, which was no earlier than its start.
+			this.notifyConfirmed(this.confirmation.record(startedAtMs), Confirmation.Store);
 			return listing;
 		} catch (error) {
 			this.log.debug('the policy was not read from the store', {reason: String(error)});
@@ -227,27 +254,46 @@
 		}
 	}
 
-	/** Reads the policy when nothing has told its version for some time: the watch may be silent, and the node out of reach of gossip. */
+	/** Tells peers of a confirmation that is younger than the one known before by enough. */
+	private notifyConfirmed(gainMs: number, confirmation: Confirmation): void {
+		if (gainMs >= this.inForceWithinMs * newsFraction) {
+			this.confirmEmitter.fire(confirmation);
+		}
+	}
+
+	/** Reads the policy whenever the store has not confirmed the version for some time: the watch may be silent, which nothing else tells. */
 	private async runChecks(stopped: AbortSignal): Promise<void> {
-		let readAtMs = performance.now();
+		this.readAtMs = performance.now();
 		while (!stopped.aborted) {
-			await ignoreRejection(sleep(this.inForceWithinMs / checksPerBound, stopped));
-			const nowMs = performance.now();
-			const unconfirmedMs = nowMs - Math.max(this.confirmedAtMs, readAtMs);
-			if (!stopped.aborted && unconfirmedMs >= this.inForceWithinMs * unconfirmedFraction) {
-				this.log.debug('no word of the policy version', {inForce: this.version, unconfirmedMs: Math.round(unconfirmedMs)});
-				readAtMs = nowMs;
+			await this.waitForCheck(stopped);
+			if (!stopped.aborted) {
+				this.readAtMs = performance.now();
+				this.log.debug('policy version not confirmed', {inForce: this.version, unconfirmedMs: Math.round(this.confirmationAgeMs)});
 				await this.readStore(stopped);
 			}
 		}
 	}
 
+	/** Waits until the policy has to be read; confirmations put it off. */
+	private async waitForCheck(stopped: AbortSignal): Promise<void> {
+		const unconfirmedMs = this.inForceWithinMs * (firstReadFraction + ((lastReadFraction - firstReadFraction) * uniformFloat64(this.random)));
+		while (!stopped.aborted) {
+			const dueAtMs = Math.max(this.confirmation.atMs + unconfirmedMs, this.readAtMs + (this.inForceWithinMs * lastReadFraction));
+			const delayMs = dueAtMs - performance.now();
+			if (delayMs <= 0) {
+				return;
+			}
+
+			await ignoreRejection(sleep(delayMs, stopped));
+		}
+	}
+
 	/** Every node watches the store itself: what gossip brings has no bound for a single node. */
 	private watchStore(known: StoreListing | undefined): void {
 		this.disposables.add(this.store.watch(this.key, ({key, entry}) => {
 			if (key === this.key) {
-				this.confirmedAtMs = performance.now();
 				this.adoptEntry(entry, 'watch');
+				this.confirmation.record(performance.now());
 			}
 		}, {checkIntervalMs: watchCheckIntervalMs, known}));
 	}
--- a/src/services/policy/test/stored-policy-service.test.ts
+++ b/src/services/policy/test/stored-policy-service.test.ts
@@ -146,8 +146,8 @@
 	await first.policy.submit(importancePatch('normal', 'p1', 1), noSignal);
 	t.is(second.policy.version, 2);
 	for (let elapsedMs = 0; elapsedMs < longerThanPollMs; elapsedMs += 1000) {
-		first.policy.recordPeerContact(2);
-		second.policy.recordPeerContact(2);
+		first.policy.recordPeerConfirmation(2, 0);
+		second.policy.recordPeerConfirmation(2, 0);
 		await clock.tickAsync(1000);
 	}
 
