Collect bodies in blocks, so that one-byte chunks don't exhaust a node's memory

Other operators saw a machine end with the requests of other clients on it, when a faulty upstream sent bytes without end.

Cause: each chunk of a body was kept as a view of some hundred bytes; the bounds count the bytes of bodies only.

Excluded: the socket's buffers and the parser.

Why it works: memory follows the bytes that the budgets count, in blocks of up to 64 KiB.

--- a/src/runtime/http/read-body.ts
+++ b/src/runtime/http/read-body.ts
@@ -1,8 +1,8 @@
-import {Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
 import {Deferred} from '../../base/deferred.js';
 import {ErrorKind} from '../../base/error-kind.js';
 import {KumquatlineError} from '../../base/kumquatline-error.js';
+import {BodyCollector} from './body-collector.js';
 
 type OnBytes = (bytes: number) => void;
 
@@ -21,7 +21,7 @@
 }
 
 async function collect(message: IncomingMessage, maxBodyBytes: number, onWillBuffer?: OnBytes): Promise<Uint8Array> {
-	const chunks: Uint8Array[] = [];
+	const collector = new BodyCollector();
 	const completed = new Deferred<void>();
 	let sizeBytes = 0;
 	message.on('data', (chunk: Uint8Array) => {
@@ -33,7 +33,7 @@
 
 		try {
 			onWillBuffer?.(chunk.length);
-			chunks.push(chunk);
+			collector.append(chunk);
 		} catch (error) {
 			completed.reject(error as Error);
 			message.pause();
@@ -44,7 +44,7 @@
 		completed.reject(new KumquatlineError(ErrorKind.CallerGone, 'the request ended before its body was complete', {started: false, cause: error}));
 	});
 	await completed.promise;
-	return chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
+	return collector.take();
 }
 
 function bodyTooLargeError(maxBodyBytes: number): KumquatlineError {
--- a/src/services/backend/answer-collector.ts
+++ b/src/services/backend/answer-collector.ts
@@ -1,8 +1,8 @@
-import {Buffer} from 'node:buffer';
 import {type Dispatcher} from 'undici';
 import {Deferred} from '../../base/deferred.js';
 import {ErrorKind} from '../../base/error-kind.js';
 import {KumquatlineError} from '../../base/kumquatline-error.js';
+import {BodyCollector} from '../../runtime/http/body-collector.js';
 import {BackendHeader} from './backend-header.js';
 
 type Headers = Readonly<Record<string, string | readonly string[] | undefined>>;
@@ -19,7 +19,7 @@
 /** Collects one complete answer, up to a maximum size, and records whether any byte of the request was sent. */
 export class AnswerCollector implements Dispatcher.DispatchHandler {
 	private readonly answer = new Deferred<CollectedAnswer>();
-	private readonly chunks: Uint8Array[] = [];
+	private readonly body = new BodyCollector();
 	private sizeBytes = 0;
 	private status = 0;
 	private headers: Headers = {};
@@ -73,12 +73,11 @@
 			return;
 		}
 
-		this.chunks.push(chunk);
+		this.body.append(chunk);
 	}
 
 	onResponseEnd(): void {
-		const body = this.chunks.length === 1 ? this.chunks[0] : Buffer.concat(this.chunks);
-		this.answer.resolve({status: this.status, headers: this.headers, body});
+		this.answer.resolve({status: this.status, headers: this.headers, body: this.body.take()});
 	}
 
 	onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
--- a/src/services/exchange/answer-parser.ts
+++ b/src/services/exchange/answer-parser.ts
@@ -1,4 +1,4 @@
-import {Buffer} from 'node:buffer';
+import {BodyCollector} from '../../runtime/http/body-collector.js';
 import {type BodyReservation} from '../../runtime/http/body-reservation.js';
 import {findHeaders} from '../../runtime/http/find-headers.js';
 import {StrictHttpParser} from './strict-http-parser.js';
@@ -29,7 +29,7 @@
 export class AnswerParser {
 	private readonly parser = new StrictHttpParser('RESPONSE');
 	private head: Head | undefined;
-	private chunks: Uint8Array[] = [];
+	private readonly body = new BodyCollector();
 	private bodyBytes = 0;
 	private receivedBytes = 0;
 	private skipsBody = false;
@@ -94,19 +94,19 @@
 		}
 
 		this.bodyReservation.reserve(bytes.length);
-		this.chunks.push(bytes);
+		this.body.append(bytes);
 	}
 
 	private complete(): void {
-		const {head, chunks} = this;
+		const {head} = this;
+		const body = this.body.take();
 		this.head = undefined;
-		this.chunks = [];
 		this.bodyBytes = 0;
 		this.bodyReservation.dispose();
 		if (head && head.status >= firstFinalStatus) {
 			this.receivedBytes = this.parser.unreadBytes;
 			this.hasStarted = this.receivedBytes > 0;
-			this.onAnswer({...head, body: chunks.length === 1 ? chunks[0] : Buffer.concat(chunks)});
+			this.onAnswer({...head, body});
 		}
 	}
 }
