Keep stopping when a further SIGTERM arrives

Cause: the handler was removed by the first signal, which restores the runtime's default. Test: run-until-stopped.test.ts, failed before (no listener while the node stops). A second SIGINT still ends the process.

--- a/src/programs/node/run-until-stopped.ts
+++ b/src/programs/node/run-until-stopped.ts
@@ -7,15 +7,15 @@
 	stop(): Promise<void>;
 };
 
-/** Starts a node, waits for SIGTERM or SIGINT, and stops it. */
+/** Starts a node, waits for SIGTERM or SIGINT, and stops it. Further SIGTERMs change nothing; a further SIGINT, as from a terminal, ends the process. */
 export async function runUntilStopped(node: StoppableNode): Promise<ExitStatus> {
 	const stop = new AbortController();
-	for (const name of ['SIGTERM', 'SIGINT'] as const) {
-		process.once(name, () => {
-			stop.abort();
-		});
-	}
+	const onSignal = () => {
+		stop.abort();
+	};
 
+	process.on('SIGTERM', onSignal);
+	process.once('SIGINT', onSignal);
 	try {
 		await node.start(stop.signal);
 		await whenAborted(stop.signal);
@@ -26,6 +26,8 @@
 		return ExitStatus.Failed;
 	} finally {
 		node.dispose();
+		process.off('SIGTERM', onSignal);
+		process.off('SIGINT', onSignal);
 	}
 }
 
