Let a stopping node send whole answers before it closes their connections

Cause: the HTTP server's close() destroys connections as idle once their answer is handed to the socket, whether or not it has been sent. And each answer of a stopping node closed its connection, also in front of requests that were at a backend server.

Excluded: that the request counts as done too early. It leaves the running requests only when its answer has left the process; it was the destroyed connection that ended it.

Why it works: the node closes connections by its own account of what is running on them; the last request of a connection ends it, and what arrives behind that one is not passed on.

--- a/src/services/outbound/http-outbound-service.ts
+++ b/src/services/outbound/http-outbound-service.ts
@@ -1,7 +1,6 @@
 import {once} from 'node:events';
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
-import {type AddressInfo} from 'node:net';
-import {type Duplex} from 'node:stream';
+import {type AddressInfo, Server, type Socket} from 'node:net';
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import {type Disposable} from '../../base/disposable.js';
 import {Deferred} from '../../base/deferred.js';
@@ -25,6 +24,7 @@
 import {BodyBudget} from '../../runtime/http/body-budget.js';
 import {type BodyReservation} from '../../runtime/http/body-reservation.js';
 import {type OutboundService} from './outbound-service.js';
+import {CallerConnection} from './caller-connection.js';
 import {EarlierAttemptDetector} from './earlier-attempt-detector.js';
 import {toFailure} from './to-failure.js';
 import {statusOf, writeFailure} from './write-failure.js';
@@ -56,10 +56,7 @@
 		void this.handle(request, response);
 	});
 
-	/** Abort controllers of the running requests by connection, used when the caller disconnects. */
-	private readonly running = new Map<Duplex, Set<AbortController>>();
-	/** Connections whose caller was checked at the first request. */
-	private readonly checkedSockets = new WeakSet<Duplex>();
+	private readonly connections = new Map<Socket, CallerConnection>();
 	private readonly earlierAttempts = new EarlierAttemptDetector();
 	private readonly bodyBudget = new BodyBudget(maxHeldBytes);
 	private table: RouteTable | undefined;
@@ -82,8 +79,12 @@
 		this.disposables.add(policies.onDidChange(policy => {
 			this.applyPolicy(policy);
 		}));
+		this.server.on('connection', socket => {
+			this.track(socket);
+		});
 		this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-			answerMalformed(socket, (this.running.get(socket)?.size ?? 0) > 0, clientErrorKinds.get(error.code ?? '') ?? ErrorKind.BadRequest);
+			const isRunning = (this.connections.get(socket as Socket)?.running.size ?? 0) > 0;
+			answerMalformed(socket, isRunning, clientErrorKinds.get(error.code ?? '') ?? ErrorKind.BadRequest);
 		});
 	}
 
@@ -108,15 +109,21 @@
 	async close(): Promise<void> {
 		this.isDraining = true;
 		this.refusesRoots = true;
-		this.server.close();
-		this.server.closeIdleConnections();
+		// The HTTP server's own `close` also destroys connections whose answers are still being sent.
+		Server.prototype.close.call(this.server);
+		for (const [socket, connection] of this.connections) {
+			if (connection.isIdle) {
+				socket.destroy();
+			}
+		}
+
 		return this.whenIdle();
 	}
 
 	async abandon(): Promise<void> {
 		this.isAbandoning = true;
-		for (const abortControllers of this.running.values()) {
-			for (const abortController of abortControllers) {
+		for (const {running} of this.connections.values()) {
+			for (const abortController of running) {
 				abortController.abort();
 			}
 		}
@@ -146,22 +153,32 @@
 		const enteredAtMs = performance.now();
 		const abortController = new AbortController();
 		const {socket} = message;
-		this.controllersOf(socket).add(abortController);
+		const connection = this.connections.get(socket);
+		if (!connection || connection.isClosing) {
+			// Callers know from the answer that ends the connection that this request was not read.
+			message.resume();
+			return;
+		}
+
+		connection.begin(abortController);
 		response.once('close', () => {
 			if (!response.writableFinished) {
 				abortController.abort();
 			}
 
-			this.endRequest(socket, abortController);
+			connection.end(abortController);
+			this.resolveIfIdle();
 		});
 		const bodyReservation = this.bodyBudget.createReservation();
 		try {
 			const entered = await this.readRequest(message, enteredAtMs, bodyReservation);
-			await this.checkCallerConnected(message);
+			await this.checkCallerConnected(connection, message);
 			const answer = await this.relay.relay(entered, abortController.signal);
+			this.decideConnectionEnd(connection, abortController, response);
 			this.write(response, message.method!, answer);
 			this.recordAnswer(entered, answer.status, enteredAtMs);
 		} catch (error) {
+			this.decideConnectionEnd(connection, abortController, response, message.complete);
 			this.answerFailure(message, response, error, enteredAtMs);
 		} finally {
 			bodyReservation.dispose();
@@ -172,12 +189,12 @@
 	Throws `caller-gone` for the first request of a connection that its caller has already closed: under load, connections wait to be
 	accepted, one in each turn of the event loop, and the end of a connection is read one turn after its request.
 	*/
-	private async checkCallerConnected({socket}: IncomingMessage): Promise<void> {
-		if (this.checkedSockets.has(socket)) {
+	private async checkCallerConnected(connection: CallerConnection, {socket}: IncomingMessage): Promise<void> {
+		if (connection.wasChecked) {
 			return;
 		}
 
-		this.checkedSockets.add(socket);
+		connection.wasChecked = true;
 		await nextTurn();
 		await nextTurn();
 		if (socket.destroyed || socket.readableEnded) {
@@ -250,7 +267,6 @@
 			return;
 		}
 
-		this.endConnectionIfDraining(response);
 		const framedHeaders = [...headers];
 		if (!bodylessStatuses.has(status) && method !== 'HEAD') {
 			framedHeaders.push('content-length', String(body.length));
@@ -261,10 +277,15 @@
 		response.end(body);
 	}
 
-	private endConnectionIfDraining(response: ServerResponse): void {
-		if (this.isDraining) {
+	/** Decides whether an answer ends its connection. While the node stops, the last answer does, so that requests passed on before are answered. */
+	private decideConnectionEnd(connection: CallerConnection, request: AbortController, response: ServerResponse, isRequestComplete = true): void {
+		if (!isRequestComplete || (this.isDraining && connection.isLast(request))) {
 			response.shouldKeepAlive = false;
 		}
+
+		if (!response.shouldKeepAlive) {
+			connection.close();
+		}
 	}
 
 	private recordAnswer({requestId, matched}: EnteredRequest, status: number, enteredAtMs: number): void {
@@ -291,32 +312,21 @@
 			return;
 		}
 
-		this.endConnectionIfDraining(response);
-		if (!message.complete) {
-			response.shouldKeepAlive = false;
-		}
-
 		writeFailure(response, failure);
 	}
 
-	private controllersOf(socket: Duplex): Set<AbortController> {
-		const known = this.running.get(socket);
-		if (known) {
-			return known;
-		}
-
-		const controllers = new Set<AbortController>();
-		this.running.set(socket, controllers);
+	private track(socket: Socket): void {
+		const connection = new CallerConnection(socket);
+		this.connections.set(socket, connection);
 		// The responses of pipelined requests that wait for their turn have no connection and never emit `close`.
 		socket.once('close', () => {
-			this.running.delete(socket);
-			for (const abortController of controllers) {
+			this.connections.delete(socket);
+			for (const abortController of connection.running) {
 				abortController.abort();
 			}
 
 			this.resolveIfIdle();
 		});
-		return controllers;
 	}
 
 	private async whenIdle(): Promise<void> {
@@ -326,13 +336,8 @@
 		return waiter.promise;
 	}
 
-	private endRequest(socket: Duplex, abortController: AbortController): void {
-		this.running.get(socket)?.delete(abortController);
-		this.resolveIfIdle();
-	}
-
 	private resolveIfIdle(): void {
-		if (this.idleWaiters.length > 0 && [...this.running.values()].every(running => running.size === 0)) {
+		if (this.idleWaiters.length > 0 && [...this.connections.values()].every(({running}) => running.size === 0)) {
 			for (const waiter of this.idleWaiters.splice(0)) {
 				waiter.resolve();
 			}
--- a/standins/platform/platform-backend-stand-in.ts
+++ b/standins/platform/platform-backend-stand-in.ts
@@ -39,6 +39,8 @@
 	disconnects = 0;
 	/** Time that each execution takes. */
 	executionMs = 0;
+	/** Bytes that the body of each answer has at least. */
+	answerBytes = 0;
 	/** Requests per second that the answers state as the limit; undefined for none. */
 	statedLimit: number | undefined;
 	/** Whether the answers state that the backend server leaves. */
@@ -124,6 +126,6 @@
 			...(this.statedLimit !== undefined && {'Server-Limit': this.statedLimit}),
 			...(this.isLeaving && {'Server-Leaving': '1'}),
 		});
-		response.end(`${this.service} ran ${id}`);
+		response.end(`${this.service} ran ${id}`.padEnd(this.answerBytes, '.'));
 	}
 }
