Count the time for a head from its first byte, and execute nothing behind a final answer

Cause: the HTTP server counts the time for the first head from the opening of the connection, and goes on reading behind the answer to a malformed or late head.

Why it works: the node checks heads itself, from the first check that finds bytes of one; a connection without bytes is idle and ends after idleTimeoutS. What arrives behind a final answer is dropped, which is what callers take from that answer.

--- a/src/services/outbound/caller-connection.ts
+++ b/src/services/outbound/caller-connection.ts
@@ -10,8 +10,12 @@
 	private hasFinalAnswer = false;
 	/** Bytes received when the last request was answered, or none; more belong to a head that is not complete. */
 	private handledBytes = 0;
+	private sinceMs: number;
+	private isReadingHead = false;
 
-	constructor(private readonly socket: Socket) {}
+	constructor(private readonly socket: Socket, nowMs: number) {
+		this.sinceMs = nowMs;
+	}
 
 	/** Whether an answer that ends the connection is written or decided; nothing that comes behind it may be executed. */
 	get isClosing(): boolean {
@@ -28,9 +32,11 @@
 		this.lastRunning = request;
 	}
 
-	end(request: AbortController): void {
+	end(request: AbortController, nowMs: number): void {
 		this.running.delete(request);
 		this.handledBytes = this.socket.bytesRead;
+		this.isReadingHead = false;
+		this.sinceMs = nowMs;
 	}
 
 	/** Whether no request has arrived behind this one. */
@@ -41,4 +47,23 @@
 	close(): void {
 		this.hasFinalAnswer = true;
 	}
+
+	/** Returns for how long the head of a request has been incomplete, counted from the first call that found part of it; undefined without one. */
+	headAgeMs(nowMs: number): number | undefined {
+		if (this.running.size > 0 || this.isIdle) {
+			return undefined;
+		}
+
+		if (!this.isReadingHead) {
+			this.isReadingHead = true;
+			this.sinceMs = nowMs;
+		}
+
+		return nowMs - this.sinceMs;
+	}
+
+	/** Returns for how long the connection has been idle; undefined while it isn't. */
+	idleAgeMs(nowMs: number): number | undefined {
+		return this.isIdle ? nowMs - this.sinceMs : undefined;
+	}
 }
--- a/src/services/outbound/http-outbound-service.ts
+++ b/src/services/outbound/http-outbound-service.ts
@@ -5,6 +5,7 @@
 import {type Disposable} from '../../base/disposable.js';
 import {Deferred} from '../../base/deferred.js';
 import {DisposableStore} from '../../base/disposable-store.js';
+import {toDisposable} from '../../base/to-disposable.js';
 import {ErrorKind} from '../../base/error-kind.js';
 import {KumquatlineError} from '../../base/kumquatline-error.js';
 import {HeaderNames} from '../../runtime/http/header-names.js';
@@ -29,8 +30,8 @@
 import {toFailure} from './to-failure.js';
 import {statusOf, writeFailure} from './write-failure.js';
 
-/** Interval at which connections are checked for request heads that take too long. */
-const headCheckIntervalMs = 500;
+/** Interval at which connections are checked for request heads that take too long, and for idle ones. */
+const connectionCheckIntervalMs = 500;
 /** Maximum size of a request head until a policy sets one. */
 const initialMaxHeaderBytes = 16_384;
 /** Byte budget for all request bodies together: the size of the largest one allowed, as each body is in memory several times while it is processed. */
@@ -39,11 +40,6 @@
 const noPolicyRetryMs = 500;
 /** Time after which a caller may retry at another node while this one stops. */
 const stoppingRetryMs = 50;
-/** Error kinds for the HTTP server's own error codes; all other errors mean a malformed request. */
-const clientErrorKinds: ReadonlyMap<string, ErrorKind> = new Map([
-	['HPE_HEADER_OVERFLOW', ErrorKind.HeadTooLarge],
-	['ERR_HTTP_REQUEST_TIMEOUT', ErrorKind.RequestTimeout],
-]);
 const bodylessStatuses: ReadonlySet<number> = new Set([204, 304]);
 
 /** Accepts requests over HTTP/1.1 and sends complete answers, in the order of requests on a connection. */
@@ -51,7 +47,8 @@
 	private readonly disposables = new DisposableStore();
 	private readonly replacedHeaders: ReadonlySet<string>;
 	private readonly server = createServer({
-		connectionsCheckingInterval: headCheckIntervalMs, maxHeaderSize: initialMaxHeaderBytes, requestTimeout: 0, noDelay: true,
+		// The server's own time for a head runs from the opening of the connection; it is checked here instead.
+		headersTimeout: 0, maxHeaderSize: initialMaxHeaderBytes, requestTimeout: 0, noDelay: true,
 	}, (request, response) => {
 		void this.handle(request, response);
 	});
@@ -61,6 +58,8 @@
 	private readonly bodyBudget = new BodyBudget(maxHeldBytes);
 	private table: RouteTable | undefined;
 	private maxBodyBytes = Number.POSITIVE_INFINITY;
+	private headerTimeoutMs = Number.POSITIVE_INFINITY;
+	private idleTimeoutMs = Number.POSITIVE_INFINITY;
 	private isDraining = false;
 	private refusesRoots = false;
 	private isAbandoning = false;
@@ -83,9 +82,15 @@
 			this.track(socket);
 		});
 		this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-			const isRunning = (this.connections.get(socket as Socket)?.running.size ?? 0) > 0;
-			answerMalformed(socket, isRunning, clientErrorKinds.get(error.code ?? '') ?? ErrorKind.BadRequest);
+			this.rejectMalformed(socket as Socket, error.code === 'HPE_HEADER_OVERFLOW' ? ErrorKind.HeadTooLarge : ErrorKind.BadRequest);
 		});
+		const checkTimer = setInterval(() => {
+			this.checkConnections(performance.now());
+		}, connectionCheckIntervalMs);
+		checkTimer.unref();
+		this.disposables.add(toDisposable(() => {
+			clearInterval(checkTimer);
+		}));
 	}
 
 	get port(): number {
@@ -142,7 +147,8 @@
 		this.table = new RouteTable(version, routes);
 		if (limits) {
 			this.maxBodyBytes = limits.maxBodyBytes;
-			this.server.headersTimeout = limits.headerTimeoutMs;
+			this.headerTimeoutMs = limits.headerTimeoutMs;
+			this.idleTimeoutMs = limits.idleTimeoutMs;
 			this.server.keepAliveTimeout = limits.idleTimeoutMs;
 			// The server reads this property at each new connection.
 			(this.server as unknown as {maxHeaderSize: number}).maxHeaderSize = limits.maxHeaderBytes;
@@ -166,7 +172,7 @@
 				abortController.abort();
 			}
 
-			connection.end(abortController);
+			connection.end(abortController, performance.now());
 			this.resolveIfIdle();
 		});
 		const bodyReservation = this.bodyBudget.createReservation();
@@ -316,7 +322,7 @@
 	}
 
 	private track(socket: Socket): void {
-		const connection = new CallerConnection(socket);
+		const connection = new CallerConnection(socket, performance.now());
 		this.connections.set(socket, connection);
 		// The responses of pipelined requests that wait for their turn have no connection and never emit `close`.
 		socket.once('close', () => {
@@ -329,6 +335,29 @@
 		});
 	}
 
+	/** Answers heads that take too long, counted from their first bytes, and closes connections that stay idle before their first request. */
+	private checkConnections(nowMs: number): void {
+		for (const [socket, connection] of this.connections) {
+			if ((connection.headAgeMs(nowMs) ?? 0) > this.headerTimeoutMs) {
+				this.rejectMalformed(socket, ErrorKind.RequestTimeout);
+			} else if ((connection.idleAgeMs(nowMs) ?? 0) > this.idleTimeoutMs + connectionCheckIntervalMs) {
+				socket.destroy();
+			}
+		}
+	}
+
+	/** Sends the last answer of a connection; what arrives behind it is not executed. */
+	private rejectMalformed(socket: Socket, kind: ErrorKind): void {
+		const connection = this.connections.get(socket);
+		if (connection?.isClosing) {
+			socket.destroy();
+			return;
+		}
+
+		answerMalformed(socket, (connection?.running.size ?? 0) > 0, kind);
+		connection?.close();
+	}
+
 	private async whenIdle(): Promise<void> {
 		const waiter = new Deferred<void>();
 		this.idleWaiters.push(waiter);
--- a/standins/platform/test/caller-connections.test.ts
+++ b/standins/platform/test/caller-connections.test.ts
@@ -4,6 +4,10 @@
 import {until} from './relay-fixture.js';
 import {startPair} from './start-pair.js';
 
+/** Longer than the header timeout of the test nodes and the interval at which they check it. */
+const lateHeadMs = 1700;
+/** Longer than the idle timeout of the test nodes and the same interval. */
+const lateIdleMs = 6000;
 /** Time after the start of a planned stop at which the nodes close idle connections, and one that is still inside the grace period. */
 const lateReadMs = 3300;
 /** Far more than the sockets buffer. */
@@ -66,3 +70,47 @@
 	t.true(executed.includes('first'));
 	await stopped;
 });
+
+// Guards against REFUSED: the time for a head ran from the opening of the connection, and a request that crossed the 408 was executed.
+test('a connection may be idle for longer than a head may take before its first request', async t => {
+	const {desk, catalogue} = await startPair(t);
+	const {socket, received} = openConnection(catalogue.node.ports.outbound);
+	await sleep(lateHeadMs);
+	t.is(received.text, '');
+	socket.write(requestText('POST', '/charge/x', 'late'));
+	await until(() => received.text.includes('ran late') || received.isEnded);
+	t.deepEqual(statuses(received.text), ['200']);
+	t.deepEqual(desk.backend.executions.map(({id}) => id), ['late']);
+});
+
+test('a head that takes too long is answered with 408, and the request is not executed when its rest arrives', async t => {
+	const {desk, catalogue} = await startPair(t);
+	const {socket, received} = openConnection(catalogue.node.ports.outbound);
+	const text = requestText('POST', '/charge/x', 'slow');
+	socket.write(text.slice(0, 30));
+	await until(() => received.text.length > 0);
+	socket.write(text.slice(30));
+	await sleep(300);
+	t.deepEqual(statuses(received.text), ['408']);
+	t.deepEqual(desk.backend.executions, []);
+});
+
+test('nothing is executed behind a malformed request', async t => {
+	const {desk, catalogue} = await startPair(t);
+	const {socket, received} = openConnection(catalogue.node.ports.outbound);
+	socket.write(`malformed\r\n\r\n${requestText('POST', '/charge/x', 'behind')}`);
+	await until(() => received.isEnded);
+	await sleep(100);
+	t.deepEqual(statuses(received.text), ['400']);
+	t.deepEqual(desk.backend.executions, []);
+});
+
+test('a connection without a request is closed after the idle timeout, without an answer', async t => {
+	const {catalogue} = await startPair(t);
+	const {received} = openConnection(catalogue.node.ports.outbound);
+	await sleep(lateHeadMs);
+	t.false(received.isEnded);
+	await sleep(lateIdleMs - lateHeadMs);
+	t.true(received.isEnded);
+	t.is(received.text, '');
+});
