End a wait for a policy version with its own status when its time runs out during a question

Cause: the last question of a wait has only the time that is left, and its missing answer was reported as an unreachable node. What was behind at the answer before is the reason now.

--- a/src/programs/cli/policy-wait-command.ts
+++ b/src/programs/cli/policy-wait-command.ts
@@ -24,16 +24,16 @@
 	},
 	async handler({node, timeoutMs, version}): Promise<Output> {
 		const deadlineMs = performance.now() + timeoutMs;
+		let behind: readonly string[] = [];
 		for (;;) {
-			const client = new NodeClient(node, deadlineMs - performance.now());
-			const status = nodeStatus.parse(await client.get('/kumquatline/status'));
-			const behind = findNodesBehind(status, version);
+			const status = await readStatus(node, deadlineMs, behind, version);
+			behind = findNodesBehind(status, version);
 			if (behind.length === 0) {
 				return report(status, version);
 			}
 
 			if (performance.now() + pollIntervalMs >= deadlineMs) {
-				throw new CliError(ExitStatus.WaitTimedOut, `version ${version} is not yet in force at ${behind.join(', ')}`);
+				throw timedOutError(version, behind);
 			}
 
 			await sleep(pollIntervalMs);
@@ -41,6 +41,19 @@
 	},
 });
 
+/** Reads the status of a node; if the time runs out after an earlier answer, the nodes that were behind then are the reason. */
+async function readStatus(node: string, deadlineMs: number, behind: readonly string[], version: number): Promise<Status> {
+	try {
+		return nodeStatus.parse(await new NodeClient(node, deadlineMs - performance.now()).get('/kumquatline/status'));
+	} catch (error) {
+		throw behind.length > 0 && performance.now() >= deadlineMs ? timedOutError(version, behind) : error;
+	}
+}
+
+function timedOutError(version: number, behind: readonly string[]): CliError {
+	return new CliError(ExitStatus.WaitTimedOut, `version ${version} is not yet in force at ${behind.join(', ')}`);
+}
+
 function findNodesBehind({self, policyVersion, members}: Status, version: number): string[] {
 	const own = policyVersion < version ? [self.nodeId] : [];
 	const others = members
