--- a/src/services/exchange/answer-parser.ts
+++ b/src/services/exchange/answer-parser.ts
@@ -1,6 +1,7 @@
 import {BodyCollector} from '../../runtime/http/body-collector.js';
 import {type BodyReservation} from '../../runtime/http/body-reservation.js';
 import {findHeaders} from '../../runtime/http/find-headers.js';
+import {isBodiless} from './is-bodiless.js';
 import {StrictHttpParser} from './strict-http-parser.js';
 
 export type ParsedAnswer = {
@@ -20,8 +21,6 @@
 /** Lower statuses are interim answers, after which the final answer follows. */
 const firstFinalStatus = 200;
 const switchingProtocolsStatus = 101;
-const noContentStatus = 204;
-const notModifiedStatus = 304;
 /** Minor version of HTTP/1 from which bodies may come in chunks. */
 const firstChunkedMinorVersion = 1;
 
@@ -111,11 +110,6 @@
 	}
 }
 
-/** Whether an answer of this status ends with its head, whatever its headers say. */
-function isBodiless(status: number): boolean {
-	return status < firstFinalStatus || status === noContentStatus || status === notModifiedStatus;
-}
-
 /** Rejects headers that leave the end of the body in doubt, of which the library's parser would choose one reading. */
 function checkFraming(headers: readonly string[], versionMinor: number): void {
 	const lengths = findHeaders(headers, 'content-length');
--- a/src/services/exchange/exchange-connection.ts
+++ b/src/services/exchange/exchange-connection.ts
@@ -144,15 +144,18 @@
 			return;
 		}
 
+		let failure: string | undefined;
 		try {
 			this.parser.push(bytes);
 		} catch (error) {
-			this.fail(error instanceof Error ? error.message : 'the received data is not an HTTP answer');
+			failure = error instanceof Error ? error.message : 'the received data is not an HTTP answer';
 		}
 
-		// Bytes behind an answer belong to no request: they would become the head of the next answer.
 		if (!this.pending && this.parser.hasPartialAnswer) {
+			// Bytes behind an answer belong to no request: they would become the head of the next answer.
 			this.rejectStrayBytes('the backend server sent data behind its answer');
+		} else if (failure !== undefined) {
+			this.fail(failure);
 		}
 	}
 
--- a/src/services/exchange/strict-http-parser.ts
+++ b/src/services/exchange/strict-http-parser.ts
@@ -1,4 +1,5 @@
 import {HTTPParser} from 'http-parser-js';
+import {isBodiless} from './is-bodiless.js';
 
 /** Head of an answer as the library passes it on. */
 type AnswerHead = {
@@ -70,6 +71,10 @@
 		this.info.versionMajor = 1;
 		this.info.versionMinor = Number(minorVersion);
 		this.info.statusCode = Number(status);
+		if (isBodiless(this.info.statusCode)) {
+			this.body_bytes = 0;
+		}
+
 		this.state = 'HEADER';
 	}
 
--- a/src/services/exchange/test/stray-bytes.test.ts
+++ b/src/services/exchange/test/stray-bytes.test.ts
@@ -91,6 +91,15 @@
 	t.like(await exchange('r1'), {status: 304, body: ''});
 });
 
+test('a connection is reused after an answer that has no body and states no length', async t => {
+	const {exchange, counts} = await openRawBackend(t, (socket, number) => {
+		socket.write(`HTTP/1.1 204 No Content\r\nid: r${number}\r\nsignature: s\r\n\r\n`);
+	});
+	t.like(await exchange('r1'), {status: 204, body: ''});
+	t.like(await exchange('r2'), {status: 204, body: ''});
+	t.is(counts().connections, 1);
+});
+
 test('header values may have characters that are not ASCII', async t => {
 	const {exchange} = await openRawBackend(t, socket => {
 		socket.write(`${head}note: caf\u{E9}\r\ncontent-length: 2\r\n\r\nok`, 'latin1');
