--- a/src/services/callers/http-caller-service.ts
+++ b/src/services/callers/http-caller-service.ts
@@ -1,6 +1,6 @@
 import {once} from 'node:events';
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
-import {type AddressInfo} from 'node:net';
+import {type AddressInfo, Server} from 'node:net';
 import {type Duplex} from 'node:stream';
 import {setTimeout as delay} from 'node:timers/promises';
 import createRouter from 'find-my-way';
@@ -8,6 +8,7 @@
 import {type Disposable} from '../../base/disposable.js';
 import {ErrorKind} from '../../base/error-kind.js';
 import {KumquatlineError} from '../../base/kumquatline-error.js';
+import {Waiter} from '../../base/waiter.js';
 import {toWireError} from '../../base/to-wire-error.js';
 import {LogService} from '../../runtime/log/log-service.js';
 import {MetricsService} from '../../runtime/metrics/metrics-service.js';
@@ -35,6 +36,8 @@
 /** Time for which a leaving node still answers new requests with `draining`, before idle connections are closed. */
 const leavingNoticeMs = 300;
 const requestTimeoutMs = 30_000;
+/** Time after which a closing service looks again whether all answers have left. */
+const maxAnswerWaitMs = 1000;
 /** Longer than most clients keep idle connections, so that the client closes them and not the node. */
 const keepAliveTimeoutMs = 75_000;
 const unknownTag = 'unknown';
@@ -55,12 +58,17 @@
 	});
 
 	private readonly server = createServer({requestTimeout: requestTimeoutMs, keepAliveTimeout: keepAliveTimeoutMs}, (request, response) => {
+		this.trackAnswer(response);
 		this.router.lookup(request, response);
 	});
 
 	/** Connections with a running request. */
 	private readonly running = new WeakSet<Duplex>();
+	/** Answers that have not left the process yet. */
+	private readonly openAnswers = new Set<ServerResponse>();
+	private readonly answerSent = new Waiter();
 	private readonly requests: RequestBuilder;
+	private readonly disposal = new AbortController();
 	private draining = false;
 
 	constructor(
@@ -103,15 +111,37 @@
 		this.draining = true;
 		await delay(leavingNoticeMs);
 		const closed = once(this.server, 'close');
-		this.server.close();
+		// The HTTP server's own `close` also destroys connections whose answers are still being sent.
+		Server.prototype.close.call(this.server);
+		while (this.openAnswers.size > 0 && !this.disposal.signal.aborted) {
+			await this.answerSent.wait(maxAnswerWaitMs, this.disposal.signal);
+		}
+
+		this.server.closeIdleConnections();
 		await closed;
 	}
 
 	dispose(): void {
+		this.disposal.abort();
 		this.server.close();
 		this.server.closeAllConnections();
 	}
 
+	private trackAnswer(response: ServerResponse): void {
+		this.openAnswers.add(response);
+		const {socket} = response.req;
+		const onClose = () => {
+			response.off('close', onClose);
+			socket.off('close', onClose);
+			this.openAnswers.delete(response);
+			this.answerSent.wake();
+		};
+
+		response.once('close', onClose);
+		// The responses of pipelined requests that wait for their turn have no connection and never emit `close`.
+		socket.once('close', onClose);
+	}
+
 	/** Answers one request of a caller. */
 	private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		const enteredAtMs = Date.now();
--- a/src/services/callers/test/edge-fixture.ts
+++ b/src/services/callers/test/edge-fixture.ts
@@ -59,7 +59,7 @@
 }
 
 /** Starts one node's HTTP servers for callers and for its backend server, together with a backend server. */
-export async function startEdge(t: {teardown(release: () => void): void}, listener: (...exchange: Parameters<RequestListener>) => void | Promise<void>) {
+export async function startEdge(t: {teardown(release: () => void): void}, listener: (...exchange: Parameters<RequestListener>) => void | Promise<void>, policy = testPolicy) {
 	const log: Array<Readonly<Record<string, unknown>>> = [];
 	const kernel = new Kernel()
 		.registerInstance(SettingsService, new FixedSettingsService(testSettings('edge'), 'incarnation'))
@@ -67,7 +67,7 @@
 			debug: (message, fields) => log.push({message, ...fields}), info: noop, warn: noop, error: noop,
 		})
 		.register(MetricsService, StatsdMetricsService)
-		.registerInstance(PolicyService, {current: testPolicy, version: 1, onDidChange: new Emitter().event} as unknown as PolicyService)
+		.registerInstance(PolicyService, {current: policy, version: 1, onDidChange: new Emitter().event} as unknown as PolicyService)
 		.registerInstance(MembershipService, {members: [] as Member[], onDidChange: new Emitter().event} as unknown as MembershipService)
 		.register(RoutingService, PolicyRoutingService)
 		.registerInstance(RetryService, {recordCall: noop, grant: async () => true, admitAttempt: async () => true})
--- a/src/services/callers/test/http-caller-service.test.ts
+++ b/src/services/callers/test/http-caller-service.test.ts
@@ -1,7 +1,11 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {connect} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import test from 'ava';
 import {Deferred} from '../../../base/deferred.js';
-import {startEdge} from './edge-fixture.js';
+import {startEdge, testPolicy} from './edge-fixture.js';
 
 const echo = (request: IncomingMessage, response: ServerResponse) => {
 	response.setHeader('connection', 'keep-alive');
@@ -59,6 +63,28 @@
 	t.true(child.context.deadlineAtMs <= parent.context.deadlineAtMs);
 });
 
+// Guards against LOST: a closing service closed connections whose answer was handed to the socket but not yet sent.
+test('a closing service sends the whole of an answer that its caller reads slowly', async t => {
+	const answerBytes = 16_000_000;
+	const edge = await startEdge(t, (_request, response) => {
+		response.end(Buffer.alloc(answerBytes, 'x'));
+	}, {...testPolicy, maxAnswerBytes: answerBytes});
+	const socket = connect(edge.callers.port, '127.0.0.1');
+	let receivedBytes = 0;
+	socket.on('data', bytes => {
+		receivedBytes += bytes.length;
+	});
+	socket.write('GET /stock/7 HTTP/1.1\r\nhost: h\r\n\r\n');
+	await once(socket, 'data');
+	socket.pause();
+	const closed = edge.callers.close();
+	await sleep(500);
+	socket.resume();
+	await closed;
+	await once(socket, 'close');
+	t.true(receivedBytes > answerBytes, `${receivedBytes} bytes`);
+});
+
 test('a closing service finishes running requests, refuses new ones on open connections and then closes the connections', async t => {
 	const [started, gate] = [new Deferred<void>(), new Deferred<void>()];
 	const edge = await startEdge(t, async (_request, response) => {
