--- a/src/services/policy/stored-policy-service.ts
+++ b/src/services/policy/stored-policy-service.ts
@@ -42,7 +42,7 @@
 */
 const firstReadFraction = 0.35;
 const lastReadFraction = 0.5;
-/** Fraction of the same time by which a confirmation has to be younger to be told to peers: more than two reads for the same confirmation lie apart. */
+/** Fraction of the same time by which a confirmation has to be younger to be told to peers, so that of reads made at about the same time only one is passed on. */
 const newsFraction = 0.25;
 const firstBackoffMs = 200;
 const backoffLimitMs = 5000;
