Split the callers' connections from the outbound server, and say some things more plainly

Read as a newcomer: http-outbound-service.ts held the connections as well (375 lines, 290 now); CallerConnections has them. 'Bodiless' and 'bodyless' were one rule written twice. The enum Confirmation is a source, CallerConnection.close() closed nothing, and isClosing was a second name for hasFinalAnswer.

--- a/prove/naive/any-event-policy-service.ts
+++ b/prove/naive/any-event-policy-service.ts
@@ -7,7 +7,7 @@
 import {type PeerAddress} from '../../src/runtime/peer/peer-address.js';
 import {PeerService} from '../../src/runtime/peer/peer-service.js';
 import {StoreService} from '../../src/runtime/store/store-service.js';
-import {type Confirmation} from '../../src/services/policy/confirmation.js';
+import {type ConfirmationSource} from '../../src/services/policy/confirmation-source.js';
 import {encodePolicyUpdate} from '../../src/services/policy/encode-policy-update.js';
 import {makePatchedPolicy} from '../../src/services/policy/make-patched-policy.js';
 import {makeFirstPolicy} from '../../src/services/policy/make-first-policy.js';
@@ -24,7 +24,7 @@
 export class AnyEventPolicyService implements PolicyService, Disposable {
 	readonly onDidChange: Event<Policy>;
 	readonly confirmationAgeMs = Number.POSITIVE_INFINITY;
-	readonly onDidConfirm: Event<Confirmation> = new Emitter<Confirmation>().event;
+	readonly onDidConfirm: Event<ConfirmationSource> = new Emitter<ConfirmationSource>().event;
 	private readonly changeEmitter = new Emitter<Policy>();
 	private policy: Policy | undefined;
 	private watch: Disposable | undefined;
--- a/src/runtime/http/body-collector.ts
+++ b/src/runtime/http/body-collector.ts
@@ -6,8 +6,8 @@
 /**
 Collects the pieces of a body.
 
-A piece is a view that keeps the whole received buffer, and costs far more than its length if it is short. All but a single piece are
-therefore copied into blocks, so that the memory in use follows the bytes, whatever their number of pieces.
+Each piece is a view that retains the received buffer and has an overhead of its own. Unless there is only one piece, pieces are copied
+into blocks, so that the memory in use depends on the number of bytes only.
 */
 export class BodyCollector {
 	/** The only piece so far. */
--- a/src/services/exchange/answer-parser.ts
+++ b/src/services/exchange/answer-parser.ts
@@ -1,7 +1,7 @@
 import {BodyCollector} from '../../runtime/http/body-collector.js';
 import {type BodyReservation} from '../../runtime/http/body-reservation.js';
 import {findHeaders} from '../../runtime/http/find-headers.js';
-import {isBodiless} from './is-bodiless.js';
+import {isBodyless} from '../../runtime/http/is-bodyless.js';
 import {StrictHttpParser} from './strict-http-parser.js';
 
 export type ParsedAnswer = {
@@ -42,7 +42,7 @@
 			}
 
 			this.head = {status: statusCode, headers, keepsAlive: shouldKeepAlive};
-			return this.skipsBody || isBodiless(statusCode);
+			return this.skipsBody || isBodyless(statusCode);
 		};
 
 		this.parser.onBody = (bytes, offset, length) => {
@@ -110,7 +110,7 @@
 	}
 }
 
-/** Rejects headers that leave the end of the body in doubt, of which the library's parser would choose one reading. */
+/** Rejects headers that make the end of the body ambiguous, which the library's parser accepts. */
 function checkFraming(headers: readonly string[], versionMinor: number): void {
 	const lengths = findHeaders(headers, 'content-length');
 	if (!lengths.every(value => /^\d+$/v.test(value) && value === lengths[0])) {
--- a/src/services/exchange/exchange-connection.ts
+++ b/src/services/exchange/exchange-connection.ts
@@ -152,7 +152,7 @@
 		}
 
 		if (!this.pending && this.parser.hasPartialAnswer) {
-			// Bytes behind an answer belong to no request: they would become the head of the next answer.
+			// The parser would take these bytes for the start of the next answer.
 			this.rejectStrayBytes('the backend server sent data behind its answer');
 		} else if (failure !== undefined) {
 			this.fail(failure);
--- a/src/services/exchange/strict-http-parser.ts
+++ b/src/services/exchange/strict-http-parser.ts
@@ -1,5 +1,5 @@
 import {HTTPParser} from 'http-parser-js';
-import {isBodiless} from './is-bodiless.js';
+import {isBodyless} from '../../runtime/http/is-bodyless.js';
 
 /** Head of an answer as the library passes it on. */
 type AnswerHead = {
@@ -36,12 +36,12 @@
 const statusLine = /^HTTP\/1\.([01]) ([1-5]\d{2})(?: [\t\u0020-\u007E\u0080-\u00FF]*)?$/v;
 /** Name, colon and value without control characters. A folded line has no name. */
 const headerLine = /^[!#$%\u0026'*+.^_`\|~\dA-Za-z\-]+:[\t\u0020-\u007E\u0080-\u00FF]*$/v;
-/** Start of another answer behind one that broke off within a line. */
+/** Start of another answer within a line, left by an answer that broke off within that line. */
 const innerStatusLine = /HTTP\/1\.[01] [1-5]\d{2}(?: |$)/v;
 /** Hexadecimal size, with optional extensions that are ignored. */
 const chunkHead = /^([\da-f]{1,8})[\t ]*(?:;.*)?$/iv;
 
-/** Rejects answers that RFC 9112 calls malformed, of which the library's parser skips or reinterprets the malformed part. */
+/** Rejects malformed answers (RFC 9112) that the library's parser accepts by skipping or reinterpreting the malformed part. */
 export class StrictHttpParser extends LenientParser {
 	/** Number of bytes of the piece being parsed that lie behind the current position. */
 	get unreadBytes(): number {
@@ -71,7 +71,7 @@
 		this.info.versionMajor = 1;
 		this.info.versionMinor = Number(minorVersion);
 		this.info.statusCode = Number(status);
-		if (isBodiless(this.info.statusCode)) {
+		if (isBodyless(this.info.statusCode)) {
 			this.body_bytes = 0;
 		}
 
--- a/src/services/membership/confirmation-broadcast.ts
+++ b/src/services/membership/confirmation-broadcast.ts
@@ -1,4 +1,4 @@
-import {Confirmation} from '../policy/confirmation.js';
+import {ConfirmationSource} from '../policy/confirmation-source.js';
 import {type GossipChannel} from './gossip-channel.js';
 import {type GossipHost} from './gossip-host.js';
 import {GossipMessageKind} from './gossip-message-kind.js';
@@ -6,14 +6,14 @@
 import {type MemberTable} from './member-table.js';
 import {type SeededRandom} from './seeded-random.js';
 
-/** Members of its own availability zone that a node tells. */
+/** Members of the own availability zone that receive a confirmation. */
 const fanout = 3;
 
 /**
-Tells a few members how long ago the store confirmed the policy in force, which every datagram carries.
+Sends datagrams, each of which carries the age of the confirmation of the policy in force, to a few members.
 
-A node that has read the store tells members of its own availability zone and one of each other zone; a node that hears of it tells
-members of its own zone, so that few datagrams pass between zones.
+A confirmation from the store is sent to members of the own availability zone and to one member of each other zone; a confirmation from a
+peer is sent within the own zone only, which keeps the traffic between zones low.
 */
 export class ConfirmationBroadcast {
 	constructor(
@@ -23,11 +23,11 @@
 		private readonly random: SeededRandom,
 	) {}
 
-	send(confirmation: Confirmation): void {
+	send(source: ConfirmationSource): void {
 		const {nodeId, availabilityZone} = this.host.self;
 		const remainingByZone = new Map([[availabilityZone, fanout]]);
 		for (const member of this.random.shuffle(this.table.all)) {
-			const remaining = remainingByZone.get(member.availabilityZone) ?? (confirmation === Confirmation.Store ? 1 : 0);
+			const remaining = remainingByZone.get(member.availabilityZone) ?? (source === ConfirmationSource.Store ? 1 : 0);
 			if (remaining > 0 && member.nodeId !== nodeId && !goneStates.has(member.state)) {
 				remainingByZone.set(member.availabilityZone, remaining - 1);
 				this.channel.send(member, GossipMessageKind.Updates);
--- a/src/services/membership/gossip-membership-service.ts
+++ b/src/services/membership/gossip-membership-service.ts
@@ -167,8 +167,8 @@
 			this.table.put(this.self);
 			gossiper.broadcastPolicyVersion();
 		}));
-		this.disposables.add(this.policy.onDidConfirm(confirmation => {
-			confirmations.send(confirmation);
+		this.disposables.add(this.policy.onDidConfirm(source => {
+			confirmations.send(source);
 		}));
 		this.gossiper = gossiper;
 		void gossiper.run(this.stop.signal);
--- a/src/services/membership/test/versioned-policy.ts
+++ b/src/services/membership/test/versioned-policy.ts
@@ -1,5 +1,5 @@
 import {Emitter} from '../../../base/emitter.js';
-import {type Confirmation} from '../../policy/confirmation.js';
+import {type ConfirmationSource} from '../../policy/confirmation-source.js';
 import {type Policy} from '../../policy/policy.js';
 import {type PolicyService} from '../../policy/policy-service.js';
 
@@ -8,7 +8,7 @@
 	readonly onDidChange;
 	version = 1;
 	readonly confirmationAgeMs = Number.POSITIVE_INFINITY;
-	readonly onDidConfirm = new Emitter<Confirmation>().event;
+	readonly onDidConfirm = new Emitter<ConfirmationSource>().event;
 	private readonly changeEmitter = new Emitter<Policy>();
 
 	constructor() {
--- a/src/services/outbound/caller-connection.ts
+++ b/src/services/outbound/caller-connection.ts
@@ -1,25 +1,22 @@
 import {type Socket} from 'node:net';
 
-/** What the node knows of a connection of a caller. */
+/** Requests and received bytes of a caller's connection. */
 export class CallerConnection {
-	/** Abort controllers of the requests that are not answered yet, in the order of their arrival. An answer ends when it has left the process. */
+	/** Abort controllers of the requests whose answers have not left the process, in order of arrival. */
 	readonly running = new Set<AbortController>();
-	/** Whether the end of the caller was checked for, before its first request. */
-	wasChecked = false;
-	private lastRunning: AbortController | undefined;
-	private hasFinalAnswer = false;
-	/** Bytes received when the last request was answered, or none; more belong to a head that is not complete. */
+	/** Whether the first request has been checked for a caller that disconnected before it was accepted. */
+	hasCheckedCaller = false;
+	/** Whether an answer that closes the connection is decided; later requests must not be executed. */
+	isClosing = false;
+	private lastRequest: AbortController | undefined;
+	/** Bytes received up to the end of the last request; any more belong to an incomplete request head. */
 	private handledBytes = 0;
-	private sinceMs: number;
 	private isReadingHead = false;
+	/** Start of the current idle time or incomplete head. */
+	private stateSinceMs: number;
 
 	constructor(private readonly socket: Socket, nowMs: number) {
-		this.sinceMs = nowMs;
-	}
-
-	/** Whether an answer that ends the connection is written or decided; nothing that comes behind it may be executed. */
-	get isClosing(): boolean {
-		return this.hasFinalAnswer;
+		this.stateSinceMs = nowMs;
 	}
 
 	/** Whether no request is running or being received. */
@@ -27,28 +24,24 @@
 		return this.running.size === 0 && this.socket.bytesRead === this.handledBytes;
 	}
 
-	begin(request: AbortController): void {
+	beginRequest(request: AbortController): void {
 		this.running.add(request);
-		this.lastRunning = request;
+		this.lastRequest = request;
 	}
 
-	end(request: AbortController, nowMs: number): void {
+	endRequest(request: AbortController, nowMs: number): void {
 		this.running.delete(request);
 		this.handledBytes = this.socket.bytesRead;
 		this.isReadingHead = false;
-		this.sinceMs = nowMs;
-	}
-
-	/** Whether no request has arrived behind this one. */
-	isLast(request: AbortController): boolean {
-		return this.lastRunning === request;
+		this.stateSinceMs = nowMs;
 	}
 
-	close(): void {
-		this.hasFinalAnswer = true;
+	/** Whether no later request has arrived. */
+	isLastRequest(request: AbortController): boolean {
+		return this.lastRequest === request;
 	}
 
-	/** Returns for how long the head of a request has been incomplete, counted from the first call that found part of it; undefined without one. */
+	/** Returns how long a request head has been incomplete, counted from the first call that finds part of it; undefined without one. */
 	headAgeMs(nowMs: number): number | undefined {
 		if (this.running.size > 0 || this.isIdle) {
 			return undefined;
@@ -56,14 +49,14 @@
 
 		if (!this.isReadingHead) {
 			this.isReadingHead = true;
-			this.sinceMs = nowMs;
+			this.stateSinceMs = nowMs;
 		}
 
-		return nowMs - this.sinceMs;
+		return nowMs - this.stateSinceMs;
 	}
 
-	/** Returns for how long the connection has been idle; undefined while it isn't. */
+	/** Returns how long the connection has been idle; undefined if it is not. */
 	idleAgeMs(nowMs: number): number | undefined {
-		return this.isIdle ? nowMs - this.sinceMs : undefined;
+		return this.isIdle ? nowMs - this.stateSinceMs : undefined;
 	}
 }
--- a/src/services/outbound/http-outbound-service.ts
+++ b/src/services/outbound/http-outbound-service.ts
@@ -1,11 +1,9 @@
 import {once} from 'node:events';
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
-import {type AddressInfo, Server, type Socket} from 'node:net';
+import {type AddressInfo, Server} from 'node:net';
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import {type Disposable} from '../../base/disposable.js';
-import {Deferred} from '../../base/deferred.js';
 import {DisposableStore} from '../../base/disposable-store.js';
-import {toDisposable} from '../../base/to-disposable.js';
 import {ErrorKind} from '../../base/error-kind.js';
 import {KumquatlineError} from '../../base/kumquatline-error.js';
 import {HeaderNames} from '../../runtime/http/header-names.js';
@@ -14,6 +12,7 @@
 import {MetricsService} from '../../runtime/metrics/metrics-service.js';
 import {RelaySettingsService} from '../../runtime/settings/relay-settings-service.js';
 import {findHeader} from '../../runtime/http/find-header.js';
+import {isBodyless} from '../../runtime/http/is-bodyless.js';
 import {keepEndToEnd} from '../../runtime/http/keep-end-to-end.js';
 import {type Policy} from '../policy/policy.js';
 import {PolicyService} from '../policy/policy-service.js';
@@ -21,17 +20,15 @@
 import {type EnteredRequest, RelayService} from '../relay/relay-service.js';
 import {RunningRequests} from '../relay/running-requests.js';
 import {RouteTable} from '../routes/route-table.js';
-import {answerMalformed} from '../callers/answer-malformed.js';
 import {BodyBudget} from '../../runtime/http/body-budget.js';
 import {type BodyReservation} from '../../runtime/http/body-reservation.js';
 import {type OutboundService} from './outbound-service.js';
-import {CallerConnection} from './caller-connection.js';
+import {type CallerConnection} from './caller-connection.js';
+import {CallerConnections} from './caller-connections.js';
 import {EarlierAttemptDetector} from './earlier-attempt-detector.js';
 import {toFailure} from './to-failure.js';
 import {statusOf, writeFailure} from './write-failure.js';
 
-/** Interval at which connections are checked for request heads that take too long, and for idle ones. */
-const connectionCheckIntervalMs = 500;
 /** Maximum size of a request head until a policy sets one. */
 const initialMaxHeaderBytes = 16_384;
 /** Byte budget for all request bodies together: the size of the largest one allowed, as each body is in memory several times while it is processed. */
@@ -40,30 +37,25 @@
 const noPolicyRetryMs = 500;
 /** Time after which a caller may retry at another node while this one stops. */
 const stoppingRetryMs = 50;
-const bodylessStatuses: ReadonlySet<number> = new Set([204, 304]);
-
 /** Accepts requests over HTTP/1.1 and sends complete answers, in the order of requests on a connection. */
 export class HttpOutboundService implements OutboundService, Disposable {
 	private readonly disposables = new DisposableStore();
 	private readonly replacedHeaders: ReadonlySet<string>;
 	private readonly server = createServer({
-		// The server's own time for a head runs from the opening of the connection; it is checked here instead.
+		// The server counts its timeout for a head from the opening of the connection; `CallerConnections` checks heads instead.
 		headersTimeout: 0, maxHeaderSize: initialMaxHeaderBytes, requestTimeout: 0, noDelay: true,
 	}, (request, response) => {
 		void this.handle(request, response);
 	});
 
-	private readonly connections = new Map<Socket, CallerConnection>();
+	private readonly connections = this.disposables.add(new CallerConnections(this.server));
 	private readonly earlierAttempts = new EarlierAttemptDetector();
 	private readonly bodyBudget = new BodyBudget(maxHeldBytes);
 	private table: RouteTable | undefined;
 	private maxBodyBytes = Number.POSITIVE_INFINITY;
-	private headerTimeoutMs = Number.POSITIVE_INFINITY;
-	private idleTimeoutMs = Number.POSITIVE_INFINITY;
 	private isDraining = false;
 	private refusesRoots = false;
 	private isAbandoning = false;
-	private readonly idleWaiters: Array<Deferred<void>> = [];
 
 	constructor(
 		@RelaySettingsService private readonly settings: RelaySettingsService,
@@ -78,19 +70,6 @@
 		this.disposables.add(policies.onDidChange(policy => {
 			this.applyPolicy(policy);
 		}));
-		this.server.on('connection', socket => {
-			this.track(socket);
-		});
-		this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-			this.rejectMalformed(socket as Socket, error.code === 'HPE_HEADER_OVERFLOW' ? ErrorKind.HeadTooLarge : ErrorKind.BadRequest);
-		});
-		const checkTimer = setInterval(() => {
-			this.checkConnections(performance.now());
-		}, connectionCheckIntervalMs);
-		checkTimer.unref();
-		this.disposables.add(toDisposable(() => {
-			clearInterval(checkTimer);
-		}));
 	}
 
 	get port(): number {
@@ -116,24 +95,14 @@
 		this.refusesRoots = true;
 		// The HTTP server's own `close` also destroys connections whose answers are still being sent.
 		Server.prototype.close.call(this.server);
-		for (const [socket, connection] of this.connections) {
-			if (connection.isIdle) {
-				socket.destroy();
-			}
-		}
-
-		return this.whenIdle();
+		this.connections.closeIdle();
+		return this.connections.whenIdle();
 	}
 
 	async abandon(): Promise<void> {
 		this.isAbandoning = true;
-		for (const {running} of this.connections.values()) {
-			for (const abortController of running) {
-				abortController.abort();
-			}
-		}
-
-		return this.whenIdle();
+		this.connections.abortRequests();
+		return this.connections.whenIdle();
 	}
 
 	dispose(): void {
@@ -147,8 +116,7 @@
 		this.table = new RouteTable(version, routes);
 		if (limits) {
 			this.maxBodyBytes = limits.maxBodyBytes;
-			this.headerTimeoutMs = limits.headerTimeoutMs;
-			this.idleTimeoutMs = limits.idleTimeoutMs;
+			this.connections.timeouts = limits;
 			this.server.keepAliveTimeout = limits.idleTimeoutMs;
 			// The server reads this property at each new connection.
 			(this.server as unknown as {maxHeaderSize: number}).maxHeaderSize = limits.maxHeaderBytes;
@@ -161,30 +129,29 @@
 		const {socket} = message;
 		const connection = this.connections.get(socket);
 		if (!connection || connection.isClosing) {
-			// Callers know from the answer that ends the connection that this request was not read.
+			// The answer that closes the connection tells the caller that this request was not read.
 			message.resume();
 			return;
 		}
 
-		connection.begin(abortController);
+		connection.beginRequest(abortController);
 		response.once('close', () => {
 			if (!response.writableFinished) {
 				abortController.abort();
 			}
 
-			connection.end(abortController, performance.now());
-			this.resolveIfIdle();
+			this.connections.endRequest(connection, abortController);
 		});
 		const bodyReservation = this.bodyBudget.createReservation();
 		try {
 			const entered = await this.readRequest(message, enteredAtMs, bodyReservation);
 			await this.checkCallerConnected(connection, message);
 			const answer = await this.relay.relay(entered, abortController.signal);
-			this.decideConnectionEnd(connection, abortController, response);
+			this.decideClose(connection, abortController, response);
 			this.write(response, message.method!, answer);
 			this.recordAnswer(entered, answer.status, enteredAtMs);
 		} catch (error) {
-			this.decideConnectionEnd(connection, abortController, response, message.complete);
+			this.decideClose(connection, abortController, response, message.complete);
 			this.answerFailure(message, response, error, enteredAtMs);
 		} finally {
 			bodyReservation.dispose();
@@ -196,11 +163,11 @@
 	accepted, one in each turn of the event loop, and the end of a connection is read one turn after its request.
 	*/
 	private async checkCallerConnected(connection: CallerConnection, {socket}: IncomingMessage): Promise<void> {
-		if (connection.wasChecked) {
+		if (connection.hasCheckedCaller) {
 			return;
 		}
 
-		connection.wasChecked = true;
+		connection.hasCheckedCaller = true;
 		await nextTurn();
 		await nextTurn();
 		if (socket.destroyed || socket.readableEnded) {
@@ -274,7 +241,7 @@
 		}
 
 		const framedHeaders = [...headers];
-		if (!bodylessStatuses.has(status) && method !== 'HEAD') {
+		if (!isBodyless(status) && method !== 'HEAD') {
 			framedHeaders.push('content-length', String(body.length));
 		}
 
@@ -283,14 +250,14 @@
 		response.end(body);
 	}
 
-	/** Decides whether an answer ends its connection. While the node stops, the last answer does, so that requests passed on before are answered. */
-	private decideConnectionEnd(connection: CallerConnection, request: AbortController, response: ServerResponse, isRequestComplete = true): void {
-		if (!isRequestComplete || (this.isDraining && connection.isLast(request))) {
+	/** Decides whether an answer closes its connection. A stopping node closes it with the last answer, so that pipelined requests are answered too. */
+	private decideClose(connection: CallerConnection, request: AbortController, response: ServerResponse, isRequestComplete = true): void {
+		if (!isRequestComplete || (this.isDraining && connection.isLastRequest(request))) {
 			response.shouldKeepAlive = false;
 		}
 
 		if (!response.shouldKeepAlive) {
-			connection.close();
+			connection.isClosing = true;
 		}
 	}
 
@@ -320,56 +287,4 @@
 
 		writeFailure(response, failure);
 	}
-
-	private track(socket: Socket): void {
-		const connection = new CallerConnection(socket, performance.now());
-		this.connections.set(socket, connection);
-		// The responses of pipelined requests that wait for their turn have no connection and never emit `close`.
-		socket.once('close', () => {
-			this.connections.delete(socket);
-			for (const abortController of connection.running) {
-				abortController.abort();
-			}
-
-			this.resolveIfIdle();
-		});
-	}
-
-	/** Answers heads that take too long, counted from their first bytes, and closes connections that stay idle before their first request. */
-	private checkConnections(nowMs: number): void {
-		for (const [socket, connection] of this.connections) {
-			if ((connection.headAgeMs(nowMs) ?? 0) > this.headerTimeoutMs) {
-				this.rejectMalformed(socket, ErrorKind.RequestTimeout);
-			} else if ((connection.idleAgeMs(nowMs) ?? 0) > this.idleTimeoutMs + connectionCheckIntervalMs) {
-				socket.destroy();
-			}
-		}
-	}
-
-	/** Sends the last answer of a connection; what arrives behind it is not executed. */
-	private rejectMalformed(socket: Socket, kind: ErrorKind): void {
-		const connection = this.connections.get(socket);
-		if (connection?.isClosing) {
-			socket.destroy();
-			return;
-		}
-
-		answerMalformed(socket, (connection?.running.size ?? 0) > 0, kind);
-		connection?.close();
-	}
-
-	private async whenIdle(): Promise<void> {
-		const waiter = new Deferred<void>();
-		this.idleWaiters.push(waiter);
-		this.resolveIfIdle();
-		return waiter.promise;
-	}
-
-	private resolveIfIdle(): void {
-		if (this.idleWaiters.length > 0 && [...this.connections.values()].every(({running}) => running.size === 0)) {
-			for (const waiter of this.idleWaiters.splice(0)) {
-				waiter.resolve();
-			}
-		}
-	}
 }
--- a/src/services/policy/policy-service.ts
+++ b/src/services/policy/policy-service.ts
@@ -2,7 +2,7 @@
 import {type Event} from '../../base/event.js';
 import {createServiceId} from '../../runtime/kernel/create-service-id.js';
 import {type PeerAddress} from '../../runtime/peer/peer-address.js';
-import {type Confirmation} from './confirmation.js';
+import {type ConfirmationSource} from './confirmation-source.js';
 import {type Policy} from './policy.js';
 
 export type PolicyPatch = {
@@ -26,8 +26,8 @@
 	readonly onDidChange: Event<Policy>;
 	/** Time since the store is known to have held no version newer than the one in force; infinite if it never was. */
 	readonly confirmationAgeMs: number;
-	/** Fires when peers should be told of a younger confirmation. */
-	readonly onDidConfirm: Event<Confirmation>;
+	/** Fires when a younger confirmation should be sent to peers. */
+	readonly onDidConfirm: Event<ConfirmationSource>;
 	/** Loads the policy from the store, if it responds in time, then follows changes. */
 	start(signal: AbortSignal): Promise<void>;
 	/** Writes the first policy, as version 1. Throws `policy-conflict` if there is a policy already, `policy-invalid` or `store-unavailable`. */
@@ -43,7 +43,7 @@
 	restore(signal: AbortSignal): Promise<PatchResult>;
 	/** Records that a peer has this version, as received by gossip; a newer version is then fetched from it. */
 	recordPeerVersion(version: number, peer: PeerAddress): void;
-	/** Records that, according to a peer, the store held no version newer than this one at the time that lies `ageMs` back. */
+	/** Records a peer's confirmation: `ageMs` ago, the store held no version newer than this one. */
 	recordPeerConfirmation(version: number, ageMs: number): void;
 }
 
--- a/src/services/policy/stored-policy-service.ts
+++ b/src/services/policy/stored-policy-service.ts
@@ -16,7 +16,7 @@
 import {Backoff} from '../../runtime/store/backoff.js';
 import {type StoreEntry} from '../../runtime/store/store-entry.js';
 import {type StoreListing, StoreService} from '../../runtime/store/store-service.js';
-import {Confirmation} from './confirmation.js';
+import {ConfirmationSource} from './confirmation-source.js';
 import {encodePolicyUpdate} from './encode-policy-update.js';
 import {makeFirstPolicy} from './make-first-policy.js';
 import {makePatchedPolicy} from './make-patched-policy.js';
@@ -36,13 +36,13 @@
 const watchCheckIntervalMs = 10_000;
 const defaultInForceWithinMs = 3000;
 /**
-Fractions of the time within which a change has to be in force: a node without confirmation reads the store between `firstReadFraction` and
-`lastReadFraction` after the last one, and no more often than once in `lastReadFraction`. The node that comes first tells its peers, so
-the others seldom read.
+Age of a confirmation at which a node reads the store, as a fraction of the time within which a change has to be in force. Each node draws
+its age between the two fractions, and the first one to read notifies its peers, so that the others seldom read. The second fraction is
+also the minimum time between two reads of a node.
 */
 const firstReadFraction = 0.35;
 const lastReadFraction = 0.5;
-/** Fraction of the same time by which a confirmation has to be younger to be told to peers, so that of reads made at about the same time only one is passed on. */
+/** Fraction of the same time by which a confirmation has to be younger than the previous one to be sent to peers; avoids repeating simultaneous reads. */
 const newsFraction = 0.25;
 const firstBackoffMs = 200;
 const backoffLimitMs = 5000;
@@ -50,12 +50,12 @@
 /** Keeps the policy in force: watches the store, and fetches versions that it doesn't get there from peers; never goes back to an earlier version. */
 export class StoredPolicyService implements PolicyService, Disposable {
 	readonly onDidChange: Event<Policy>;
-	readonly onDidConfirm: Event<Confirmation>;
+	readonly onDidConfirm: Event<ConfirmationSource>;
 	/** Key of the policy in the store. */
 	protected readonly key: string = policyKey;
 	private readonly disposables = new DisposableStore();
 	private readonly changeEmitter = this.disposables.add(new Emitter<Policy>());
-	private readonly confirmEmitter = this.disposables.add(new Emitter<Confirmation>());
+	private readonly confirmEmitter = this.disposables.add(new Emitter<ConfirmationSource>());
 	private readonly random: RandomGenerator;
 	private readonly fetcher: PolicyFetcher;
 	private readonly writer: PolicyWriter;
@@ -66,7 +66,7 @@
 	private announcedVersion = 0;
 	private announcedAtMs = 0;
 	private readonly confirmation = new VersionConfirmation();
-	/** Entry of the store that was decoded last, which need not be decoded again. */
+	/** Last decoded entry of the store; it is not decoded again. */
 	private decodedEntry: StoreEntry | undefined;
 	/** When this node last began to read the policy because it was not confirmed. */
 	private readAtMs = 0;
@@ -171,9 +171,9 @@
 	}
 
 	recordPeerConfirmation(version: number, ageMs: number): void {
-		// What a peer knows of a newer version says nothing of the one in force here.
+		// The confirmation of a newer version does not confirm the one in force here.
 		if (version <= this.version) {
-			this.notifyConfirmed(this.confirmation.recordOfPeer(ageMs, performance.now()), Confirmation.Peer);
+			this.notifyConfirmed(this.confirmation.recordOfPeer(ageMs, performance.now()), ConfirmationSource.Peer);
 		}
 	}
 
@@ -246,7 +246,7 @@
 			}
 
 			// The store held this version when the read arrived there, which was no earlier than its start.
-			this.notifyConfirmed(this.confirmation.record(startedAtMs), Confirmation.Store);
+			this.notifyConfirmed(this.confirmation.record(startedAtMs), ConfirmationSource.Store);
 			return listing;
 		} catch (error) {
 			this.log.debug('the policy was not read from the store', {reason: String(error)});
@@ -254,14 +254,14 @@
 		}
 	}
 
-	/** Tells peers of a confirmation that is younger than the one known before by enough. */
-	private notifyConfirmed(gainMs: number, confirmation: Confirmation): void {
+	/** Fires `onDidConfirm` if a confirmation is sufficiently younger than the previous one. */
+	private notifyConfirmed(gainMs: number, source: ConfirmationSource): void {
 		if (gainMs >= this.inForceWithinMs * newsFraction) {
-			this.confirmEmitter.fire(confirmation);
+			this.confirmEmitter.fire(source);
 		}
 	}
 
-	/** Reads the policy whenever the store has not confirmed the version for some time: the watch may be silent, which nothing else tells. */
+	/** Reads the policy when its confirmation is too old: the watch may be silent without an error, and the node out of reach of gossip. */
 	private async runChecks(stopped: AbortSignal): Promise<void> {
 		this.readAtMs = performance.now();
 		while (!stopped.aborted) {
--- a/src/services/policy/version-confirmation.ts
+++ b/src/services/policy/version-confirmation.ts
@@ -1,7 +1,7 @@
-/** Time that a confirmation may take between two nodes without being counted in its age. */
+/** Allowance for the transit time between two nodes, which the age sent with a confirmation does not include. */
 const transitAllowanceMs = 20;
 
-/** Knows until when the store is certain to have held no version newer than the one in force at this node. */
+/** Latest time at which the store is known to have held no version newer than the one in force at this node. */
 export class VersionConfirmation {
 	private confirmedAtMs = Number.NEGATIVE_INFINITY;
 
@@ -9,14 +9,14 @@
 		return this.confirmedAtMs;
 	}
 
-	/** Records that the store held no newer version at a time; returns by how much that is later than the time known before, in milliseconds. */
+	/** Records a time at which the store held no newer version; returns the gain over the previous time in milliseconds. */
 	record(atMs: number): number {
 		const gainMs = atMs - this.confirmedAtMs;
 		this.confirmedAtMs = Math.max(this.confirmedAtMs, atMs);
 		return gainMs;
 	}
 
-	/** Records a confirmation that a peer knows and that had this age when the peer sent it. */
+	/** Records a peer's confirmation, of this age when it was sent. */
 	recordOfPeer(ageMs: number, nowMs: number): number {
 		return this.record(nowMs - ageMs - transitAllowanceMs);
 	}
