--- a/review/stand-ins-2/run-case.js
+++ b/review/stand-ins-2/run-case.js
@@ -24,7 +24,8 @@
 	}
 
 	async addMachine({name, service, slots, serve, ...options}) {
-		const ip = `127.0.7.${this.machines.length + 1}`;
+		// The metrics port is fixed, so cases that run at the same time need addresses of their own.
+		const ip = `127.0.${10 + (process.pid % 200)}.${this.machines.length + 1}`;
 		const upstream = new Upstream({
 			service, id: `i-${name}`, slots, serve,
 		});
