--- a/review/8/case.js
+++ b/review/8/case.js
@@ -1,29 +1,22 @@
-// Clients read long answers slowly, and their node holds all of these answers without a bound.
-import {Buffer} from 'node:buffer';
-import {connect} from 'node:net';
+// A late liveness report arrives after the node has restarted, and after the upstream's leaving was acknowledged.
 import path from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {send} from '../stand-ins-2/client.js';
 import {runCase} from '../stand-ins-2/run-case.js';
-import {useKeptConnection} from '../stand-ins-2/use-kept-connection.js';
 
-const answerBytes = 8 * 1024 * 1024;
-const downloadCount = 70;
-const downloadIntervalMs = 150;
-/** A slow client waits this long after each piece of at most 64 KiB, so that it reads about 0.4 megabytes a second. */
-const slowReadMs = 150;
-const keptConnections = 8;
-const workMs = 400;
-/** LOST allows three. */
-const allowedLosses = 3;
+/** How late the report arrives. */
+const reportDelayMs = 6000;
+const drainMs = 2000;
+const requestIntervalMs = 20;
+const workMs = 150;
+/** The upstream serves this long after the confirmation and exits. */
+const servesAfterMs = 9000;
 
 const manifest = {
 	version: 'r3',
 	routes: [
 		{
-			name: 'hire-ledger', host: 'a.example', prefix: '/ledger/', kind: 'idempotent', timeoutS: 40, goalS: 5, priority: 1, service: 'hire-desk', attempts: 2,
-		},
-		{
-			name: 'stock-check', host: 'a.example', prefix: '/stock/', kind: 'idempotent', timeoutS: 5, goalS: 1.5, priority: 2, service: 'catalogue', attempts: 2,
+			name: 'hire-extend', host: 'a.example', prefix: '/hire/', kind: 'mutating', timeoutS: 3, goalS: 1.5, priority: 0, service: 'hire-desk', attempts: 2,
 		},
 	],
 	services: [{name: 'hire-desk', healthPath: '/health', maxConns: 586}, {name: 'catalogue', healthPath: '/health', maxConns: 490}],
@@ -32,72 +25,71 @@
 	},
 };
 
-/** Reads one long answer; resolves with whether it was whole. */
-async function download({outbound}, id, isSlow) {
-	const socket = connect(outbound.port, outbound.host);
-	socket.on('error', () => undefined);
-	socket.write(`GET /ledger/x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: ${id}\r\nX-Deadline-Ms: 40000\r\nConnection: close\r\n\r\n`);
-	let bytes = 0;
-	socket.on('data', chunk => {
-		bytes += chunk.length;
-		if (isSlow) {
-			socket.pause();
-			setTimeout(() => {
-				socket.resume();
-			}, slowReadMs);
-		}
-	});
-	await new Promise(resolve => {
-		socket.once('close', resolve);
-	});
-	return {id, isWhole: bytes > answerBytes};
-}
-
-async function serveStock(exchange) {
+async function serve(exchange) {
+	await exchange.body;
 	await sleep(workMs);
 	exchange.answer();
 }
 
 await runCase(path.join(import.meta.dirname, 'record.txt'), async ({installation, record, hasTrouble}) => {
 	installation.configure(manifest);
-	const body = Buffer.alloc(answerBytes, 'x');
-	const [front] = [
-		await installation.addMachine({
-			name: 'front-0', service: 'catalogue', slots: 65, serve: serveStock,
-		}),
-		await installation.addMachine({
-			name: 'front-1', service: 'catalogue', slots: 65, serve: serveStock,
-		}),
-	];
+	const front = await installation.addMachine({
+		name: 'front-0', service: 'catalogue', slots: 65, serve,
+	});
+	const desks = [];
 	for (const name of ['desk-0', 'desk-1']) {
-		await installation.addMachine({
-			name, service: 'hire-desk', slots: 81, serve(exchange) {
-				record.write('run', exchange.id);
-				exchange.answer({body});
-			},
-		});
+		desks.push(await installation.addMachine({
+			name, service: 'hire-desk', slots: 81, serve,
+		}));
 	}
 
 	await installation.whenReady();
+	const [leaving] = desks;
+	const {upstream} = leaving;
 	const stop = new AbortController();
-	const kept = Array.from({length: keptConnections}, async (_, index) =>
-		useKeptConnection(front, {name: `kept-${index}`, target: '/stock/x', signal: stop.signal}));
-	const downloads = [];
-	for (let index = 0; index < downloadCount; index++) {
-		const id = `download-${index}`;
-		record.write('sent', id);
-		downloads.push(download(front, id, hasTrouble));
-		await sleep(downloadIntervalMs);
+	const outcomes = [];
+	const load = (async () => {
+		for (let index = 0; !stop.signal.aborted; index++) {
+			outcomes.push(send(front.outbound, {
+				method: 'POST', target: '/hire/x', id: `hire-${index}`, deadlineMs: 3000,
+			}));
+			await sleep(requestIntervalMs);
+		}
+	})();
+	await sleep(1000);
+	// The last report before the upstream leaves; a partition holds it up.
+	upstream.seq++;
+	const lateReport = upstream.report();
+	record.write('report sent, seq', upstream.seq);
+	await sleep(300);
+	const acknowledged = await upstream.depart();
+	const acknowledgedAtMs = performance.now();
+	record.write('DELETE acknowledged with', acknowledged);
+	await sleep(300);
+	if (hasTrouble) {
+		leaving.kill('SIGKILL');
+		record.write('node of the leaving upstream killed; the platform starts it again');
+	}
+
+	await sleep(reportDelayMs - 600);
+	record.write('the late report arrives, answered with', await upstream.sendReport(lateReport));
+	await sleep(servesAfterMs - (performance.now() - acknowledgedAtMs));
+	upstream.close();
+	record.write('the upstream exits');
+	await sleep(500);
+	stop.abort();
+	await load;
+	const late = upstream.runs.filter(({atMs}) => atMs - acknowledgedAtMs > drainMs);
+	for (const {id, atMs} of late) {
+		record.write('reached the leaving upstream', id, `${Math.round(atMs - acknowledgedAtMs)} ms after the confirmation`);
 	}
 
-	for (const {id, isWhole} of await Promise.all(downloads)) {
-		record.write('answered', id, isWhole ? 'whole' : 'not whole');
+	const statuses = {};
+	for (const {status = 'closed'} of await Promise.all(outcomes)) {
+		statuses[status] = (statuses[status] ?? 0) + 1;
 	}
 
-	stop.abort();
-	const lostIds = await Promise.all(kept);
-	const losses = lostIds.flat();
-	record.writeMachines(installation.machines);
-	record.write('requests on kept connections that got no answer:', losses.length, losses.join(' '));
-	return losses.length > allowedLosses;
+	record.write('answers by status', JSON.stringify(statuses));
+	record.write('requests that reached the leaving upstream later than drainS after the confirmation:', late.length);
+	return late.length > 0;
 });
--- a/review/stand-ins-2/recorder.js
+++ b/review/stand-ins-2/recorder.js
@@ -12,10 +12,4 @@
 	write(...words) {
 		appendFileSync(this.path, `${((performance.now() - this.startedAtMs) / 1000).toFixed(3)} ${words.join(' ')}\n`);
 	}
-
-	writeMachines(machines) {
-		for (const {name, peakMb, memoryKills, exits} of machines) {
-			this.write(name, `peak ${Math.round(peakMb)} MB`, `killed because of its memory ${memoryKills.length} times`, `ended ${exits.length} times`);
-		}
-	}
 }
