Review: a report of another writer displaces a machine's upstream for good

Tried: one report of a service that no manifest names to each of four machines, after a loss of all processes and without one.

--- a/review/stand-ins-2/upstream.js
+++ b/review/stand-ins-2/upstream.js
@@ -61,8 +61,8 @@
 		};
 	}
 
-	async sendReport(report) {
-		return this.#call('PUT', JSON.stringify(report));
+	async sendReport(report, id = this.id) {
+		return this.#call('PUT', JSON.stringify(report), id);
 	}
 
 	async depart() {
@@ -78,10 +78,10 @@
 		}
 	}
 
-	async #call(method, body) {
+	async #call(method, body, id = this.id) {
 		return new Promise(resolve => {
 			const call = httpRequest({
-				host: this.host, port: this.controlPort, method, path: `/v1/instances/${this.id}`, timeout: 1000, headers: {'content-type': 'application/json'},
+				host: this.host, port: this.controlPort, method, path: `/v1/instances/${id}`, timeout: 1000, headers: {'content-type': 'application/json'},
 			}, response => {
 				response.resume();
 				response.once('end', () => {
