--- a/review/stand-ins-2/run-case.js
+++ b/review/stand-ins-2/run-case.js
@@ -25,7 +25,7 @@
 
 	async addMachine({name, service, slots, serve, ...options}) {
 		// The metrics port is fixed, so cases that run at the same time need addresses of their own.
-		const ip = `127.0.${10 + (process.pid % 200)}.${this.machines.length + 1}`;
+		const ip = `127.${10 + (Math.floor(process.pid / 250) % 240)}.${1 + (process.pid % 250)}.${this.machines.length + 1}`;
 		const upstream = new Upstream({
 			service, id: `i-${name}`, slots, serve,
 		});
